--- /dev/null
+++ b/src/sardinespool/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements of endpoints and slot grants."""
--- /dev/null
+++ b/src/sardinespool/clock/__init__.py
@@ -0,0 +1,6 @@
+"""Points in time, passed to every state machine."""
+
+from sardinespool.clock.instant import CLOCK_ERROR_MS
+from sardinespool.clock.instant import Instant
+
+__all__ = ["CLOCK_ERROR_MS", "Instant"]
--- /dev/null
+++ b/src/sardinespool/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions, patches and approvals."""
--- /dev/null
+++ b/src/sardinespool/domains/__init__.py
@@ -0,0 +1,1 @@
+"""Start permits and the state of failure domains."""
--- /dev/null
+++ b/src/sardinespool/errors/replication.py
@@ -0,0 +1,27 @@
+"""Errors of the replicated log."""
+
+from sardinespool.errors.base import SardinespoolError
+
+
+class ReplicationError(SardinespoolError):
+    """The replicated log could not serve a call."""
+
+    http_status = 503
+
+
+class NotLeaderError(ReplicationError):
+    """The member is not the leader; ``details['leader']`` may name it."""
+
+
+class GroupUnavailableError(ReplicationError):
+    """No leader of the group answered before the deadline."""
+
+
+class ProposalLostError(ReplicationError):
+    """Leadership changed before the proposal was committed."""
+
+
+class MembershipChangeError(ReplicationError):
+    """Another membership change is in progress or the change is invalid."""
+
+    http_status = 409
--- /dev/null
+++ b/src/sardinespool/groups/__init__.py
@@ -0,0 +1,1 @@
+"""State machines and services of the two kinds of groups."""
--- /dev/null
+++ b/src/sardinespool/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed requests, replies and replicated commands."""
--- /dev/null
+++ b/src/sardinespool/messages/codec.py
@@ -0,0 +1,147 @@
+"""MessagePack codecs for requests, replies and commands."""
+
+import msgspec
+
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.base import Message
+from sardinespool.messages.capacity import EntrySync
+from sardinespool.messages.capacity import EntryView
+from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.commands import Refused
+from sardinespool.messages.configuration import ApprovePatch
+from sardinespool.messages.configuration import Configuration
+from sardinespool.messages.configuration import ConfigurationStatus
+from sardinespool.messages.configuration import ConfigurationStatusReply
+from sardinespool.messages.configuration import ListPatches
+from sardinespool.messages.configuration import ListVersions
+from sardinespool.messages.configuration import PatchList
+from sardinespool.messages.configuration import PatchReceipt
+from sardinespool.messages.configuration import ReadConfiguration
+from sardinespool.messages.configuration import RejectPatch
+from sardinespool.messages.configuration import SubmitPatch
+from sardinespool.messages.configuration import VersionList
+from sardinespool.messages.dump import DumpState
+from sardinespool.messages.dump import StateDump
+from sardinespool.messages.jobs import CancelJob
+from sardinespool.messages.jobs import DomainSync
+from sardinespool.messages.jobs import JobList
+from sardinespool.messages.jobs import JobReceipt
+from sardinespool.messages.jobs import ListJobs
+from sardinespool.messages.jobs import SubmitJob
+from sardinespool.messages.jobs import SyncDomain
+from sardinespool.messages.requests import AbandonRequest
+from sardinespool.messages.requests import BeginReply
+from sardinespool.messages.requests import BeginRequest
+from sardinespool.messages.requests import FinishRequest
+from sardinespool.messages.tasks import Accepted
+from sardinespool.messages.tasks import EvictTasks
+from sardinespool.messages.tasks import FailTasks
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.messages.tasks import HeartbeatReply
+from sardinespool.messages.tasks import ListTasks
+from sardinespool.messages.tasks import ListWorkers
+from sardinespool.messages.tasks import PlaceTasks
+from sardinespool.messages.tasks import PlaceTasksReply
+from sardinespool.messages.tasks import ReleaseJob
+from sardinespool.messages.tasks import RestrictStarts
+from sardinespool.messages.tasks import SchedulerSync
+from sardinespool.messages.tasks import SchedulingView
+from sardinespool.messages.tasks import TaskList
+from sardinespool.messages.tasks import ThrottleTasks
+from sardinespool.messages.tasks import WorkerList
+
+Request = (
+    SubmitPatch
+    | ApprovePatch
+    | RejectPatch
+    | ListPatches
+    | ReadConfiguration
+    | ListVersions
+    | ConfigurationStatus
+    | SubmitJob
+    | CancelJob
+    | ListJobs
+    | SyncDomain
+    | EntrySync
+    | Heartbeat
+    | SchedulerSync
+    | PlaceTasks
+    | EvictTasks
+    | ThrottleTasks
+    | FailTasks
+    | ReleaseJob
+    | ListTasks
+    | ListWorkers
+    | RestrictStarts
+    | BeginRequest
+    | FinishRequest
+    | AbandonRequest
+    | DumpState
+)
+
+Reply = (
+    Refused
+    | PatchReceipt
+    | PatchList
+    | Configuration
+    | VersionList
+    | ConfigurationStatusReply
+    | JobReceipt
+    | JobList
+    | DomainSync
+    | EntryView
+    | HeartbeatReply
+    | SchedulingView
+    | PlaceTasksReply
+    | TaskList
+    | WorkerList
+    | BeginReply
+    | Accepted
+    | StateDump
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_REQUESTS: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(Request)
+_REPLIES: msgspec.msgpack.Decoder[Reply] = msgspec.msgpack.Decoder(Reply)
+_COMMANDS = msgspec.msgpack.Decoder(Command)
+
+__all__ = [
+    "Command",
+    "CommandBody",
+    "Reply",
+    "Request",
+    "decode_command",
+    "decode_reply",
+    "decode_request",
+    "encode",
+]
+
+
+def encode(message: Message) -> bytes:
+    """Encode any message with its tag."""
+    return _ENCODER.encode(message)
+
+
+def decode_request(data: bytes) -> Request:
+    """Decode a request; raise `InvalidMessageError` if it is malformed."""
+    try:
+        return _REQUESTS.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidMessageError(str(error)) from error
+
+
+def decode_reply(data: bytes) -> Reply:
+    """Decode a reply; raise `InvalidMessageError` if it is malformed."""
+    try:
+        return _REPLIES.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidMessageError(str(error)) from error
+
+
+def decode_command(data: bytes) -> Command:
+    """Decode a command; raise `InvalidMessageError` if it is malformed."""
+    try:
+        return _COMMANDS.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidMessageError(str(error)) from error
--- /dev/null
+++ b/src/sardinespool/messages/commands.py
@@ -0,0 +1,128 @@
+"""Replicated commands and results.
+
+A command carries a request that changes state, or one of the internal
+commands below that a group's leader proposes itself.
+"""
+
+from typing import Any
+
+from sardinespool.messages.base import Message
+from sardinespool.messages.configuration import ApprovePatch
+from sardinespool.messages.configuration import Configuration
+from sardinespool.messages.configuration import RejectPatch
+from sardinespool.messages.configuration import SubmitPatch
+from sardinespool.messages.jobs import CancelJob
+from sardinespool.messages.jobs import JobChange
+from sardinespool.messages.jobs import SubmitJob
+from sardinespool.messages.jobs import SyncDomain
+from sardinespool.messages.requests import AbandonRequest
+from sardinespool.messages.requests import BeginRequest
+from sardinespool.messages.requests import FinishRequest
+from sardinespool.messages.tasks import EvictTasks
+from sardinespool.messages.tasks import FailTasks
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.messages.tasks import PlaceTasks
+from sardinespool.messages.tasks import ReleaseJob
+from sardinespool.messages.tasks import RestrictStarts
+from sardinespool.messages.tasks import ThrottleTasks
+
+
+class FormGroup(Message, frozen=True, kw_only=True):
+    """First command of a group; names its incarnation."""
+
+    group_incarnation: str
+
+
+class AdoptConfiguration(Message, frozen=True, kw_only=True):
+    """Put a configuration version in force in a failure domain."""
+
+    configuration: Configuration
+
+
+class AcceptJobs(Message, frozen=True, kw_only=True):
+    """Take job changes of the global group, in sequence."""
+
+    changes: tuple[JobChange, ...]
+
+
+class JobsRecorded(Message, frozen=True, kw_only=True):
+    """The global group has recorded finished and released jobs."""
+
+    finished_jobs: tuple[str, ...] = ()
+    released_jobs: tuple[str, ...] = ()
+
+
+class RecordWorker(Message, frozen=True, kw_only=True):
+    """Register a worker or its new incarnation, address or resources.
+
+    Also carries the state transitions that the heartbeat reports.
+    """
+
+    heartbeat: Heartbeat
+
+
+class WorkerLost(Message, frozen=True, kw_only=True):
+    """The lease of a worker's incarnation ended."""
+
+    worker_id: str
+    incarnation: int
+
+
+class DenyTasks(Message, frozen=True, kw_only=True):
+    """The worker does not have these attempts and can't start them."""
+
+    worker_id: str
+    incarnation: int
+    attempts: tuple[tuple[str, int], ...]
+
+
+class ExpireRecords(Message, frozen=True, kw_only=True):
+    """Remove request records whose retention ended before this time."""
+
+    before_unix_ms: int
+
+
+CommandBody = (
+    FormGroup
+    | SubmitPatch
+    | ApprovePatch
+    | RejectPatch
+    | SubmitJob
+    | CancelJob
+    | SyncDomain
+    | AdoptConfiguration
+    | AcceptJobs
+    | JobsRecorded
+    | RecordWorker
+    | WorkerLost
+    | DenyTasks
+    | ExpireRecords
+    | PlaceTasks
+    | EvictTasks
+    | ThrottleTasks
+    | FailTasks
+    | ReleaseJob
+    | RestrictStarts
+    | BeginRequest
+    | FinishRequest
+    | AbandonRequest
+)
+
+
+class Command(Message, frozen=True, kw_only=True):
+    """One entry of a group's log.
+
+    `proposed_unix_ms` is the leader's wall clock at the proposal; state
+    machines take the time from it alone.
+    """
+
+    proposed_unix_ms: int
+    body: CommandBody
+
+
+class Refused(Message, frozen=True, kw_only=True):
+    """A typed refusal; `code` is that of an error class."""
+
+    code: str
+    text: str
+    details: dict[str, Any] = {}
--- /dev/null
+++ b/src/sardinespool/messages/requests.py
@@ -0,0 +1,60 @@
+"""Messages of request records at the home group of a key."""
+
+from typing import Literal
+
+from sardinespool.messages.base import Message
+from sardinespool.messages.base import Record
+
+
+class StoredAnswer(Record, frozen=True, kw_only=True):
+    """An endpoint's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class BeginRequest(Message, frozen=True, kw_only=True):
+    """Claim the only run of a key; answered by `BeginReply`.
+
+    `attempt_id` is unique for each caller's request at each entry. Resending
+    the same `attempt_id` gets the same answer. A minted key names the group
+    incarnation in `group_incarnation`; it is empty for a caller's own key.
+    """
+
+    key: str
+    body_digest: str
+    entry_id: str
+    attempt_id: str
+    send_deadline_unix_ms: int
+    group_incarnation: str = ""
+
+
+class BeginReply(Message, frozen=True, kw_only=True):
+    """Whether this attempt may send.
+
+    `granted`: send once, before the send deadline. `running`: another
+    attempt holds the key. `finished`: `answer` holds the stored answer.
+    `unknown`: the outcome was lost.
+    """
+
+    state: Literal["granted", "running", "finished", "unknown"]
+    answer: StoredAnswer | None = None
+
+
+class FinishRequest(Message, frozen=True, kw_only=True):
+    """Store the outcome of a granted attempt; answered by `Accepted`.
+
+    `answer` is None when the outcome is unknown.
+    """
+
+    key: str
+    attempt_id: str
+    answer: StoredAnswer | None
+
+
+class AbandonRequest(Message, frozen=True, kw_only=True):
+    """Give back a claim of which no byte left; answered by `Accepted`."""
+
+    key: str
+    attempt_id: str
--- /dev/null
+++ b/src/sardinespool/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and state dumps."""
--- /dev/null
+++ b/src/sardinespool/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on workers."""
--- /dev/null
+++ b/src/sardinespool/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of the programs."""
--- /dev/null
+++ b/src/sardinespool/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log."""
--- /dev/null
+++ b/src/sardinespool/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys and request records."""
--- /dev/null
+++ b/src/sardinespool/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, endpoint choice and retries."""
--- /dev/null
+++ b/src/sardinespool/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files, checked whole at start."""
--- /dev/null
+++ b/src/sardinespool/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files under the data folder."""
--- /dev/null
+++ b/src/sardinespool/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, attempts and checkpoints."""
--- /dev/null
+++ b/src/sardinespool/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Frames between processes and HTTP."""
