--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -41,3 +41,9 @@
     """The worker's incarnation is older than the registered one."""
 
     http_status = 409
+
+
+class GroupRetiredError(TaskError):
+    """The reporting group was replaced after the loss of its disks."""
+
+    http_status = 409
--- a/src/sardinespool/messages/jobs.py
+++ b/src/sardinespool/messages/jobs.py
@@ -73,9 +73,14 @@
 
 
 class ReleasedJob(Record, frozen=True, kw_only=True):
-    """A job that its home released, with every task stopped."""
+    """A job that its home released, with every task stopped.
+
+    `assign_sequence` is the sequence of the `JobChange` that assigned it. It
+    tells a resent release from one after the job came back to this home.
+    """
 
     job_id: str
+    assign_sequence: int
     tasks: tuple[TaskTransfer, ...]
 
 
--- /dev/null
+++ b/src/sardinespool/transport/connector.py
@@ -0,0 +1,65 @@
+"""Outgoing connections of a process."""
+
+import asyncio
+
+from sardinespool.settings.model import ClusterSettings
+from sardinespool.transport.frames import Frame
+from sardinespool.transport.frames import FrameKind
+from sardinespool.transport.peer_link import hello_frame
+from sardinespool.transport.peer_link import PeerLink
+from sardinespool.transport.tls import peer_client_context
+
+
+class Connector:
+    """Owns one `PeerLink` for each address that the process talks to.
+
+    Parameters
+    ----------
+    cluster : ClusterSettings
+        Token and certificates of the deployment.
+    program : str
+        Name of the program, shown in the peer's log.
+    name : str
+        Name of the process.
+    """
+
+    def __init__(
+        self, cluster: ClusterSettings, program: str, name: str
+    ) -> None:
+        self._hello = hello_frame(f"{program}/{name}", cluster.cluster_token)
+        self._context = peer_client_context(cluster.tls)
+        self._links: dict[str, PeerLink] = {}
+
+    def send_peer(
+        self, address: str, group: str, sender: str, body: bytes
+    ) -> None:
+        """Send a replication message without waiting for delivery."""
+        self._link(address).send(
+            Frame(kind=FrameKind.PEER, group=group, sender=sender, body=body)
+        )
+
+    async def call(
+        self,
+        address: str,
+        group: str,
+        body: bytes,
+        deadline_unix_ms: int,
+        timeout_ms: int,
+    ) -> bytes:
+        """Call a group at an address; see `PeerLink.call`."""
+        return await self._link(address).call(
+            group, body, deadline_unix_ms, timeout_ms
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        links = list(self._links.values())
+        self._links.clear()
+        await asyncio.gather(*(link.close() for link in links))
+
+    def _link(self, address: str) -> PeerLink:
+        link = self._links.get(address)
+        if link is None:
+            link = PeerLink(address, self._hello, self._context)
+            self._links[address] = link
+        return link
--- /dev/null
+++ b/testing/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of versions, patches and approvals."""
--- /dev/null
+++ b/testing/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the group state machines."""
--- /dev/null
+++ b/testing/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of frames and connections between processes."""
