--- /dev/null
+++ b/demo/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the stand-in worker."""
--- /dev/null
+++ b/demo/standin/heartbeats.py
@@ -0,0 +1,49 @@
+"""Heartbeats of a stand-in worker through the entries."""
+
+import dataclasses
+
+import msgspec
+import tornado.httpclient
+
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.messages.tasks import HeartbeatReply
+
+# One try must leave time for the other entries within the lease of 6 s.
+TRY_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class HeartbeatSender:
+    """Sends heartbeats to one entry; turns to the next one on failure."""
+
+    entries: tuple[str, ...]
+    token: str
+    _next: int = 0
+
+    async def send(self, heartbeat: Heartbeat) -> HeartbeatReply | None:
+        """Return the reply, or None if no entry answered."""
+        client = tornado.httpclient.AsyncHTTPClient()
+        body = msgspec.json.encode(heartbeat)
+        for _ in self.entries:
+            entry = self.entries[self._next % len(self.entries)]
+            request = tornado.httpclient.HTTPRequest(
+                f"http://{entry}/v1/heartbeat",
+                method="POST",
+                headers={
+                    "Authorization": f"Bearer {self.token}",
+                    "Content-Type": "application/json",
+                },
+                body=body,
+                connect_timeout=TRY_TIMEOUT_S,
+                request_timeout=TRY_TIMEOUT_S,
+            )
+            try:
+                response = await client.fetch(request)
+                return msgspec.json.decode(response.body, type=HeartbeatReply)
+            except (
+                tornado.httpclient.HTTPError,
+                OSError,
+                msgspec.MsgspecError,
+            ):
+                self._next += 1
+        return None
--- /dev/null
+++ b/demo/steps_configuration.py
@@ -0,0 +1,133 @@
+"""Steps: readiness, patches and approvals."""
+
+import time
+
+from demo.caller import fetch
+from demo.context import check
+from demo.context import Demo
+from sardinespool.errors import SardinespoolError
+from sardinespool.messages.configuration import Change
+from sardinespool.programs.command_line.views import in_force
+
+READY_TIMEOUT_S = 60.0
+IN_FORCE_TIMEOUT_S = 20.0
+
+
+def all_ready(demo: Demo) -> str:
+    """Check that every process is ready and every worker is listed."""
+    pending = [
+        process
+        for program in ("store", "entry", "scheduler")
+        for process in demo.plan.of(program)
+    ]
+    count = len(pending)
+
+    def probe() -> bool:
+        for process in list(pending):
+            if fetch(process.address, "/ready", timeout_s=2).status != 200:
+                return False
+            pending.remove(process)
+        return True
+
+    demo.wait_for(
+        "every process answers 200 on /ready", probe, READY_TIMEOUT_S
+    )
+    expected = {worker.name for worker in demo.plan.of("worker")}
+
+    def announced() -> bool:
+        found = set()
+        for name in demo.shape.domain_names:
+            answer = demo.operator.get("workers", failure_domain=name)
+            found |= {worker["worker_id"] for worker in answer["workers"]}
+        return found == expected
+
+    demo.wait_for("every worker is listed", announced, READY_TIMEOUT_S)
+    return f"{count} processes and {len(expected)} workers"
+
+
+def first_changes(demo: Demo) -> tuple[Change, ...]:
+    """Return the changes that the demonstration needs."""
+    shape = demo.shape
+    values = {
+        f"services/{shape.service}": {
+            "kind": "latency-critical",
+            "timeout_ms": 5_000,
+            "retry_share": 0.1,
+        },
+        f"teams/{shape.team}": {
+            "processors_millicores": 1_000_000,
+            "memory_mb": 1_000_000,
+            "accelerators": 0,
+            "running_tasks": 1_000,
+        },
+        "standing_approvals/failure-domains": {
+            "operators": ["operator-1"],
+            "failure_domains": list(shape.domain_names),
+        },
+    }
+    return tuple(
+        Change(op="set", key=key, value=value) for key, value in values.items()
+    )
+
+
+def author_cannot_approve(demo: Demo) -> str:
+    """Check that a patch is not in force before another person's approval."""
+    receipt = demo.submit("first", first_changes(demo))
+    check(receipt.state == "pending", f"the patch is {receipt.state}")
+    path = f"patches/{receipt.patch_id}/approve"
+    try:
+        demo.operator.post(path, {"digest": receipt.digest})
+    except SardinespoolError as error:
+        code = error.code
+    else:
+        code = "approved"
+    check(code == "self-approval", f"approval by the author: {code}")
+    status = demo.status()
+    check(
+        status.version == 0 and all(d.version == 0 for d in status.domains),
+        f"versions before the approval: {status}",
+    )
+    answer = demo.caller.check_seats(demo.entry_addresses()[0], "early")
+    check(
+        answer.outcome == "not-run",
+        f"a seat check before the approval: {answer}",
+    )
+    return (
+        "approval by the author refused (self-approval), version 0 "
+        "everywhere, seat check refused as not run"
+    )
+
+
+def approved_everywhere(demo: Demo) -> str:
+    """Check that an approved patch is soon in force at every process."""
+    (patch,) = demo.approver.get("patches")["patches"]
+    receipt = patch["receipt"]
+    started = time.monotonic()
+    answer = demo.approver.post(
+        f"patches/{receipt['patch_id']}/approve",
+        {"digest": receipt["digest"]},
+    )
+    count = wait_in_force(demo, answer["version"])
+    elapsed_s = time.monotonic() - started
+    return (
+        f"version {answer['version']} in force in "
+        f"{len(demo.shape.domains)} failure domains and at {count} processes "
+        f"after {elapsed_s:.2f} s"
+    )
+
+
+def wait_in_force(demo: Demo, version: int) -> int:
+    """Wait for a version at every entry; return the processes counted."""
+    entries = {process.name for process in demo.plan.of("entry")}
+
+    def probe() -> int | None:
+        status = demo.status()
+        names = {p.name for d in status.domains for p in d.processes}
+        complete = len(status.domains) == len(demo.shape.domains)
+        if complete and entries <= names and in_force(status, version):
+            return len(names)
+        return None
+
+    return demo.wait_for(
+        f"version {version} is in force everywhere", probe, IN_FORCE_TIMEOUT_S
+    )
--- /dev/null
+++ b/src/sardinespool/groups/domain_state.py
@@ -0,0 +1,43 @@
+"""Snapshot of a domain group's replicated state."""
+
+import msgspec
+
+from sardinespool.domains.starts import StartRestriction
+from sardinespool.messages.base import Record
+from sardinespool.messages.configuration import Configuration
+from sardinespool.requests.record import RequestRecord
+from sardinespool.tasks.job_record import JobRecord
+from sardinespool.tasks.record import TaskRecord
+from sardinespool.tasks.workers import WorkerRecord
+
+
+class DomainState(Record, frozen=True, kw_only=True):
+    """Whole replicated state; every list is in the order of its ids."""
+
+    failure_domain: str
+    group_incarnation: str
+    formed_unix_ms: int
+    reformed: bool
+    configuration: Configuration
+    restriction: StartRestriction | None
+    known_job_sequence: int
+    table_version: int
+    jobs: tuple[JobRecord, ...]
+    tasks: tuple[TaskRecord, ...]
+    workers: tuple[WorkerRecord, ...]
+    requests: tuple[RequestRecord, ...]
+
+
+# Sorted mapping keys give equal bytes for equal states.
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_DECODER = msgspec.msgpack.Decoder(DomainState)
+
+
+def encode_state(state: DomainState) -> bytes:
+    """Encode a state; equal states give equal bytes."""
+    return _ENCODER.encode(state)
+
+
+def decode_state(data: bytes) -> DomainState:
+    """Decode a state."""
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/sardinespool/groups/domain_views.py
@@ -0,0 +1,138 @@
+"""Answers that a domain group's leader gives from its own state."""
+
+import heapq
+
+from sardinespool.groups.domain_machine import DomainMachine
+from sardinespool.messages.capacity import EntrySync
+from sardinespool.messages.capacity import EntryView
+from sardinespool.messages.capacity import SlotGrant
+from sardinespool.messages.tasks import ListTasks
+from sardinespool.messages.tasks import PlacementResult
+from sardinespool.messages.tasks import PlaceTasks
+from sardinespool.messages.tasks import PlaceTasksReply
+from sardinespool.messages.tasks import SchedulingView
+from sardinespool.messages.tasks import TaskList
+from sardinespool.messages.tasks import WorkerList
+from sardinespool.messages.tasks import WorkerView
+from sardinespool.tasks.leases import LeaseTable
+from sardinespool.tasks.observations import Observations
+from sardinespool.tasks.views import task_view
+from sardinespool.tasks.views import worker_view
+
+
+def worker_views(
+    machine: DomainMachine, leases: LeaseTable, observations: Observations
+) -> tuple[WorkerView, ...]:
+    """Return every worker by id."""
+    return tuple(
+        worker_view(
+            worker,
+            machine.failure_domain,
+            leases.deadline_unix_ms(worker.worker_id),
+            observations.request_latency_p99_ms(worker.worker_id),
+        )
+        for worker in machine.workers.ordered()
+    )
+
+
+def worker_list(
+    machine: DomainMachine, leases: LeaseTable, observations: Observations
+) -> WorkerList:
+    """Return the answer to `ListWorkers`."""
+    return WorkerList(workers=worker_views(machine, leases, observations))
+
+
+def scheduling_view(
+    machine: DomainMachine,
+    leases: LeaseTable,
+    observations: Observations,
+    start_permit_deadline_unix_ms: int,
+    now_unix_ms: int,
+) -> SchedulingView:
+    """Return the tasks that have not ended, the workers and the quotas."""
+    table = machine.tasks
+    open_tasks = table.in_state("queued", "placed", "running", "stopping")
+    return SchedulingView(
+        failure_domain=machine.failure_domain,
+        in_service=machine.in_service,
+        # A restriction stops starts only: running tasks stay.
+        start_permit_deadline_unix_ms=(
+            0 if machine.restriction else start_permit_deadline_unix_ms
+        ),
+        unix_ms=now_unix_ms,
+        configuration_version=machine.configuration.version,
+        quotas={
+            key.removeprefix("teams/"): value
+            for key, value in machine.configuration.values.items()
+            if key.startswith("teams/") and isinstance(value, dict)
+        },
+        tasks=tuple(
+            task_view(table, task, observations.usage_of(task))
+            for task in open_tasks
+        ),
+        workers=worker_views(machine, leases, observations),
+    )
+
+
+def entry_view(
+    machine: DomainMachine,
+    request: EntrySync,
+    grants: tuple[SlotGrant, ...],
+    now_unix_ms: int,
+) -> EntryView:
+    """Return the answer to `EntrySync`."""
+    configuration = machine.configuration
+    table_version = machine.workers.table_version
+    return EntryView(
+        unix_ms=now_unix_ms,
+        group_incarnation=machine.group_incarnation,
+        version=configuration.version,
+        configuration=(
+            configuration
+            if configuration.version > request.known_version
+            else None
+        ),
+        table_version=table_version,
+        endpoints=(
+            machine.workers.endpoints()
+            if table_version != request.known_table_version
+            else None
+        ),
+        grants=grants,
+    )
+
+
+def all_refused(request: PlaceTasks) -> PlaceTasksReply:
+    """Return the answer to placements without a start permit."""
+    return PlaceTasksReply(
+        results=tuple(
+            PlacementResult(
+                task_id=placement.task_id,
+                placed=False,
+                code="no-start-permit",
+            )
+            for placement in request.placements
+        )
+    )
+
+
+def task_list(
+    machine: DomainMachine, observations: Observations, request: ListTasks
+) -> TaskList:
+    """Return the answer to `ListTasks`."""
+    table = machine.tasks
+    limit = max(0, request.limit)
+    if request.job_id:
+        tasks = table.of_job(request.job_id)[:limit]
+    else:
+        tasks = heapq.nsmallest(
+            limit,
+            table.tasks.values(),
+            key=lambda task: (task.job_id, task.number),
+        )
+    return TaskList(
+        tasks=tuple(
+            task_view(table, task, observations.usage_of(task))
+            for task in tasks
+        )
+    )
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -28,9 +28,13 @@
 
 
 class FormGroup(Message, frozen=True, kw_only=True):
-    """First command of a group; names its incarnation."""
+    """First command of a group; names its incarnation.
+
+    `reformed` tells that an earlier incarnation lost all its disks.
+    """
 
     group_incarnation: str
+    reformed: bool = False
 
 
 class AdoptConfiguration(Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/sardinespool/placement/fleet.py
@@ -0,0 +1,148 @@
+"""Workers of a view with their free capacity."""
+
+from sardinespool.messages.tasks import SchedulingView
+from sardinespool.messages.tasks import TaskView
+from sardinespool.messages.tasks import WorkerView
+from sardinespool.placement.demand import Demand
+from sardinespool.placement.demand import reservation
+from sardinespool.placement.demand import task_class
+
+ACTIVE_STATES = frozenset({"placed", "running", "stopping"})
+"""States in which a task holds a reservation on a worker."""
+
+
+class WorkerState:
+    """A worker, its tasks and its free capacity during one pass."""
+
+    __slots__ = (
+        "_exposures",
+        "free_accelerators",
+        "free_memory_mb",
+        "free_processors_millicores",
+        "level",
+        "position",
+        "probe",
+        "starts",
+        "tasks",
+        "view",
+    )
+
+    def __init__(self, view: WorkerView) -> None:
+        self.view = view
+        self.tasks: list[TaskView] = []
+        self.free_processors_millicores = view.processors_millicores
+        self.free_memory_mb = view.memory_mb
+        self.free_accelerators = view.accelerators
+        self.starts = 0
+        self.probe = False
+        self.level = 0
+        self.position = 0
+        self._exposures: dict[str, float] | None = None
+
+    def fits(self, demand: Demand) -> bool:
+        """Return whether the demand fits into the free capacity."""
+        return (
+            demand.processors_millicores <= self.free_processors_millicores
+            and demand.memory_mb <= self.free_memory_mb
+            and demand.accelerators <= self.free_accelerators
+        )
+
+    def reserve(self, demand: Demand) -> None:
+        """Take a demand from the free capacity."""
+        self.free_processors_millicores -= demand.processors_millicores
+        self.free_memory_mb -= demand.memory_mb
+        self.free_accelerators -= demand.accelerators
+
+    def start(self, name: str, demand: Demand, exposure: float) -> None:
+        """Reserve for a task that this pass places here."""
+        exposures = self.exposures()
+        exposures[name] = exposures.get(name, 0.0) + exposure
+        self.reserve(demand)
+        self.starts += 1
+
+    def exposures(self) -> dict[str, float]:
+        """Return the share of the processors that each class uses."""
+        if self._exposures is None:
+            exposures: dict[str, float] = {}
+            for task in self.tasks:
+                name = task_class(task)
+                exposures[name] = exposures.get(name, 0.0) + self.share(task)
+            self._exposures = exposures
+        return self._exposures
+
+    def share(self, task: TaskView) -> float:
+        """Return the share of the processors that a task here uses."""
+        used = task.observed_processors_millicores
+        if used == 0:
+            used = int(
+                task.reserved_processors_millicores * task.throttle_share
+            )
+        return used / max(1, self.view.processors_millicores)
+
+
+class Fleet:
+    """Workers and tasks of one view.
+
+    Attributes
+    ----------
+    workers : dict of str to WorkerState
+        All workers by id, also lost and leaving ones.
+    queued : list of TaskView
+        Tasks that wait for a placement.
+    team_use : dict of str to list of int
+        For each team its processors, memory, accelerators and tasks.
+    job_racks : dict of str to dict of str to int
+        Tasks of each latency-critical job by rack.
+    """
+
+    def __init__(self, view: SchedulingView, margin: float) -> None:
+        self.unix_ms = view.unix_ms
+        self.workers = {
+            worker.worker_id: WorkerState(worker) for worker in view.workers
+        }
+        self.queued: list[TaskView] = []
+        self.failed: list[TaskView] = []
+        self.team_use: dict[str, list[int]] = {}
+        self.job_racks: dict[str, dict[str, int]] = {}
+        self.active_tasks = 0
+        for task in view.tasks:
+            if task.failed_workers:
+                self.failed.append(task)
+            state = task.state
+            if state == "queued":
+                self.queued.append(task)
+            elif state in ACTIVE_STATES:
+                self._add_active(task, margin)
+
+    def _add_active(self, task: TaskView, margin: float) -> None:
+        self.active_tasks += 1
+        demand = reservation(task, margin)
+        self.charge(task.job.team, demand)
+        worker = self.workers.get(task.worker_id)
+        if worker is None:
+            return
+        worker.tasks.append(task)
+        worker.reserve(demand)
+        if task.job.kind == "latency-critical":
+            self.count_rack(task.job.job_id, worker.view.rack)
+
+    def charge(self, team: str, demand: Demand) -> None:
+        """Add a demand to the use of a team."""
+        use = self.team_use.setdefault(team, [0, 0, 0, 0])
+        use[0] += demand.processors_millicores
+        use[1] += demand.memory_mb
+        use[2] += demand.accelerators
+        use[3] += 1
+
+    def count_rack(self, job_id: str, rack: str) -> None:
+        """Count a task of a latency-critical job on a rack."""
+        racks = self.job_racks.setdefault(job_id, {})
+        racks[rack] = racks.get(rack, 0) + 1
+
+    def usable(self) -> list[WorkerState]:
+        """Return the workers that are neither lost nor leaving."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if not worker.view.lost and not worker.view.leaving
+        ]
--- /dev/null
+++ b/src/sardinespool/placement/plan.py
@@ -0,0 +1,41 @@
+"""What one planning pass decided."""
+
+import dataclasses
+
+from sardinespool.messages.tasks import Placement
+from sardinespool.messages.tasks import Throttle
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eviction:
+    """A task to checkpoint and stop."""
+
+    task_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskFailure:
+    """A queued task to fail, since its job failed on several workers."""
+
+    task_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnplaceableJob:
+    """A job whose tasks fit no worker even when it is empty."""
+
+    job_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Decisions of one planning pass, in the order of importance."""
+
+    placements: tuple[Placement, ...] = ()
+    evictions: tuple[Eviction, ...] = ()
+    throttles: tuple[Throttle, ...] = ()
+    failures: tuple[TaskFailure, ...] = ()
+    unplaceable: tuple[UnplaceableJob, ...] = ()
--- /dev/null
+++ b/src/sardinespool/programs/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators and approvers."""
--- /dev/null
+++ b/src/sardinespool/programs/command_line/main.py
@@ -0,0 +1,44 @@
+"""Program ``sardinespool``: the command line of operators and approvers."""
+
+from collections.abc import Sequence
+
+import typer
+
+from sardinespool.programs.command_line import views
+from sardinespool.programs.command_line.jobs import jobs_app
+from sardinespool.programs.command_line.patches import domains_app
+from sardinespool.programs.command_line.patches import patch_app
+
+HELP = """Operate sardinespool through its entries.
+
+All commands are safe to resend.
+
+Exit codes: 0 done; 1 refused by the system, with a typed error; 2 wrong
+usage; 3 no entry reachable; 78 bad settings.
+"""
+
+app = typer.Typer(
+    help=HELP, no_args_is_help=True, pretty_exceptions_enable=False
+)
+app.add_typer(patch_app, name="patch")
+app.add_typer(domains_app, name="domains")
+app.add_typer(jobs_app, name="jobs")
+app.add_typer(views.configuration_app, name="configuration")
+for _command in (
+    views.history,
+    views.status,
+    views.tasks,
+    views.workers,
+    views.endpoints,
+    views.dump,
+):
+    app.command()(_command)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run one command and exit with its code."""
+    app(list(arguments) if arguments is not None else None)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sardinespool/programs/command_line/patches.py
@@ -0,0 +1,230 @@
+"""Commands of patches and failure domains."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from sardinespool.messages.configuration import Change
+from sardinespool.messages.configuration import ConfigurationStatusReply
+from sardinespool.messages.configuration import PatchList
+from sardinespool.programs.command_line import changes as patch_changes
+from sardinespool.programs.command_line.output import time_text
+from sardinespool.programs.command_line.paths import quote
+from sardinespool.programs.command_line.session import AsJson
+from sardinespool.programs.command_line.session import DEFAULT_SETTINGS_FILE
+from sardinespool.programs.command_line.session import open_session
+from sardinespool.programs.command_line.session import reports_errors
+from sardinespool.programs.command_line.session import SettingsFile
+
+patch_app = typer.Typer(
+    help="Submit and approve changes.", no_args_is_help=True
+)
+domains_app = typer.Typer(
+    help="Take failure domains out of service and return them.",
+    no_args_is_help=True,
+)
+
+PatchId = Annotated[
+    str,
+    typer.Option(
+        "--patch-id", help="Id of the patch; repeat it to resend safely."
+    ),
+]
+Base = Annotated[
+    int | None,
+    typer.Option(
+        "--base", min=0, help="Base version; the current one if not given."
+    ),
+]
+DomainName = Annotated[str, typer.Argument(help="Name of the failure domain.")]
+
+
+@patch_app.command("submit")
+@reports_errors
+def submit_patch(
+    file: Annotated[
+        str, typer.Argument(help="YAML list of {op, key, value}.")
+    ] = "",
+    settings_values: Annotated[
+        list[str] | None,
+        typer.Option("--set", metavar="KEY=JSON", help="Set a key."),
+    ] = None,
+    removals: Annotated[
+        list[str] | None,
+        typer.Option("--remove", metavar="KEY", help="Remove a key."),
+    ] = None,
+    patch_id: PatchId = "",
+    base: Base = None,
+    dry_run: Annotated[
+        bool,
+        typer.Option(
+            "--dry-run", help="Show the effect on the current version only."
+        ),
+    ] = False,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Submit changes against a version."""
+    changes = patch_changes.parse_changes(
+        file, settings_values or (), removals or ()
+    )
+    with open_session(settings, as_json) as session:
+        if dry_run:
+            patch_changes.dry_run(session, base, changes)
+        else:
+            patch_changes.submit(session, patch_id, base, changes)
+
+
+@patch_app.command("approve")
+@reports_errors
+def approve_patch(
+    patch_id: str,
+    digest: Annotated[str, typer.Argument(help="Digest of the receipt.")],
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Approve a patch; its author can't."""
+    with open_session(settings, as_json) as session:
+        path = f"patches/{quote(patch_id)}/approve"
+        session.output.fields(session.client.post(path, {"digest": digest}))
+
+
+@patch_app.command("reject")
+@reports_errors
+def reject_patch(
+    patch_id: str,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Reject a pending patch."""
+    with open_session(settings, as_json) as session:
+        path = f"patches/{quote(patch_id)}/reject"
+        session.output.fields(session.client.post(path))
+
+
+@patch_app.command("list")
+@reports_errors
+def list_patches(
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List the pending patches."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get("patches")
+        patches = msgspec.convert(answer, PatchList).patches
+        session.output.table(
+            answer,
+            ("patch", "author", "base", "keys", "digest"),
+            [
+                (
+                    patch.receipt.patch_id,
+                    patch.author,
+                    patch.receipt.base_version,
+                    [change.key for change in patch.changes],
+                    patch.receipt.digest,
+                )
+                for patch in patches
+            ],
+        )
+
+
+@patch_app.command("diff")
+@reports_errors
+def diff_patch(
+    patch_id: str,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Compare a patch with the current version."""
+    with open_session(settings, as_json) as session:
+        base, changes = patch_changes.changes_of(session, patch_id)
+        current = patch_changes.read_configuration(session)
+        if base != current.version:
+            session.output.note(
+                f"base {base} is not the current version {current.version}"
+            )
+        patch_changes.print_diff(session, base, current, changes)
+
+
+def _set_state(
+    domain: str,
+    state: str,
+    patch_id: str,
+    base: int | None,
+    settings: str,
+    as_json: bool,
+) -> None:
+    change = Change(
+        op="set", key=f"failure_domains/{domain}", value={"state": state}
+    )
+    with open_session(settings, as_json) as session:
+        patch_changes.submit(session, patch_id, base, (change,))
+
+
+@domains_app.command("drain")
+@reports_errors
+def drain_domain(
+    domain: DomainName,
+    patch_id: PatchId = "",
+    base: Base = None,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Submit a patch that takes a failure domain out of service."""
+    _set_state(domain, "out-of-service", patch_id, base, settings, as_json)
+
+
+@domains_app.command("return")
+@reports_errors
+def return_domain(
+    domain: DomainName,
+    patch_id: PatchId = "",
+    base: Base = None,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Submit a patch that returns a failure domain to service."""
+    _set_state(domain, "in-service", patch_id, base, settings, as_json)
+
+
+@domains_app.command("restrict")
+@reports_errors
+def restrict_domain(
+    domain: DomainName,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Stop task starts at the domain itself, without the global group.
+
+    The restriction ends with a later version that returns the domain.
+    """
+    with open_session(settings, as_json) as session:
+        path = f"failure-domains/{quote(domain)}/restrict"
+        answer = session.client.post(path)
+        session.output.fields({"failure_domain": domain, **answer})
+
+
+@domains_app.command("list")
+@reports_errors
+def list_domains(
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List the failure domains with their state and version."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get("status")
+        status = msgspec.convert(answer, ConfigurationStatusReply)
+        session.output.table(
+            answer,
+            ("failure domain", "state", "version", "reported"),
+            [
+                (
+                    domain.failure_domain,
+                    "in service" if domain.in_service else "out of service",
+                    domain.version,
+                    time_text(domain.reported_unix_ms),
+                )
+                for domain in status.domains
+            ],
+        )
--- /dev/null
+++ b/src/sardinespool/programs/command_line/views.py
@@ -0,0 +1,251 @@
+"""Commands that only read."""
+
+import base64
+import binascii
+import time
+from typing import Annotated
+from typing import Any
+
+import msgspec
+import typer
+
+from sardinespool.errors.transport import CallTimeoutError
+from sardinespool.messages.configuration import ConfigurationStatusReply
+from sardinespool.messages.tasks import TaskList
+from sardinespool.messages.tasks import WorkerList
+from sardinespool.programs.command_line.changes import read_versions
+from sardinespool.programs.command_line.output import time_text
+from sardinespool.programs.command_line.session import AsJson
+from sardinespool.programs.command_line.session import DEFAULT_SETTINGS_FILE
+from sardinespool.programs.command_line.session import open_session
+from sardinespool.programs.command_line.session import reports_errors
+from sardinespool.programs.command_line.session import SettingsFile
+
+POLL_INTERVAL_S = 0.2
+
+configuration_app = typer.Typer(
+    help="Show the configuration.", no_args_is_help=True
+)
+
+FailureDomain = Annotated[str, typer.Option("--failure-domain")]
+
+
+@reports_errors
+def history(
+    after: Annotated[int, typer.Option(min=0)] = 0,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List the approved versions: what changed, by whom, approved by whom."""
+    with open_session(settings, as_json) as session:
+        versions = read_versions(session, after)
+        session.output.table(
+            versions,
+            ("version", "approved", "author", "approver", "patch", "keys"),
+            [
+                (
+                    record.version,
+                    time_text(record.approved_unix_ms),
+                    record.author,
+                    record.approver,
+                    record.patch_id,
+                    [change.key for change in record.changes],
+                )
+                for record in versions
+            ],
+        )
+
+
+def in_force(status: ConfigurationStatusReply, version: int) -> bool:
+    """Tell whether every domain and process follows `version` or later."""
+    return (
+        bool(status.domains)
+        and status.version >= version
+        and all(
+            domain.version >= version
+            and all(item.version >= version for item in domain.processes)
+            for domain in status.domains
+        )
+    )
+
+
+@reports_errors
+def status(
+    wait: Annotated[
+        int | None,
+        typer.Option(
+            "--wait",
+            metavar="VERSION",
+            help="Wait until this version is in force everywhere.",
+        ),
+    ] = None,
+    timeout_s: Annotated[float, typer.Option(min=0)] = 60.0,
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Show the version in force in each failure domain and process."""
+    deadline = time.monotonic() + timeout_s
+    with open_session(settings, as_json) as session:
+        while True:
+            answer = session.client.get("status")
+            reply = msgspec.convert(answer, ConfigurationStatusReply)
+            if wait is None or in_force(reply, wait):
+                break
+            if time.monotonic() >= deadline:
+                raise CallTimeoutError(
+                    f"version {wait} is not in force everywhere",
+                    versions={
+                        domain.failure_domain: domain.version
+                        for domain in reply.domains
+                    },
+                )
+            time.sleep(POLL_INTERVAL_S)
+        rows: list[tuple[Any, ...]] = []
+        for domain in reply.domains:
+            rows.append(
+                (
+                    domain.failure_domain,
+                    "(domain)",
+                    domain.version,
+                    time_text(domain.reported_unix_ms),
+                )
+            )
+            rows.extend(
+                (
+                    domain.failure_domain,
+                    f"{process.program} {process.name}",
+                    process.version,
+                    time_text(process.reported_unix_ms),
+                )
+                for process in domain.processes
+            )
+        if not as_json:
+            typer.echo(f"current version: {reply.version}")
+        columns = ("failure domain", "process", "version", "reported")
+        session.output.table(answer, columns, rows)
+
+
+@reports_errors
+def tasks(
+    job: Annotated[str, typer.Option("--job")] = "",
+    failure_domain: FailureDomain = "",
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List tasks."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get(
+            "tasks", job=job, failure_domain=failure_domain
+        )
+        session.output.table(
+            answer,
+            ("task", "state", "attempt", "worker", "checkpoint", "reason"),
+            [
+                (
+                    task.task_id,
+                    task.state,
+                    task.attempt,
+                    task.worker_id,
+                    task.checkpoint,
+                    task.reason,
+                )
+                for task in msgspec.convert(answer, TaskList).tasks
+            ],
+        )
+
+
+@reports_errors
+def workers(
+    failure_domain: FailureDomain = "",
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List workers."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get("workers", failure_domain=failure_domain)
+        session.output.table(
+            answer,
+            (
+                "worker",
+                "failure domain",
+                "rack",
+                "state",
+                "cores",
+                "memory MB",
+                "accelerators",
+                "lease until",
+            ),
+            [
+                (
+                    worker.worker_id,
+                    worker.failure_domain,
+                    worker.rack,
+                    "lost"
+                    if worker.lost
+                    else "leaving"
+                    if worker.leaving
+                    else "present",
+                    worker.processors_millicores / 1000,
+                    worker.memory_mb,
+                    worker.accelerators,
+                    time_text(worker.lease_deadline_unix_ms),
+                )
+                for worker in msgspec.convert(answer, WorkerList).workers
+            ],
+        )
+
+
+@reports_errors
+def endpoints(
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """List the endpoints that the entry may send requests to."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get("endpoints")
+        listed = answer["endpoints"] if isinstance(answer, dict) else answer
+        columns = ("worker_id", "address", "services", "slots", "leaving")
+        session.output.table(
+            answer,
+            [column.replace("_id", "") for column in columns],
+            [[item.get(column, "") for column in columns] for item in listed],
+        )
+
+
+@reports_errors
+def dump(
+    group: Annotated[
+        str, typer.Argument(help="Group, or nothing for the entry itself.")
+    ] = "",
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Print the whole state of a group as JSON."""
+    with open_session(settings, as_json=True) as session:
+        answer = session.client.get("dump", group=group)
+        session.output.document(_state(answer))
+
+
+def _state(answer: Any) -> Any:
+    """Unpack the JSON that `StateDump` carries as base64."""
+    if isinstance(answer, dict) and answer.get("type") == "StateDump":
+        try:
+            return msgspec.json.decode(base64.b64decode(answer["json"]))
+        except (KeyError, binascii.Error, msgspec.MsgspecError):
+            return answer
+    return answer
+
+
+@configuration_app.command("show")
+@reports_errors
+def show_configuration(
+    as_json: AsJson = False,
+    settings: SettingsFile = DEFAULT_SETTINGS_FILE,
+) -> None:
+    """Show the current version with all its values."""
+    with open_session(settings, as_json) as session:
+        answer = session.client.get("configuration")
+        if not as_json:
+            typer.echo(f"version: {answer['version']}")
+        session.output.table(
+            answer, ("key", "value"), sorted(answer["values"].items())
+        )
--- /dev/null
+++ b/src/sardinespool/programs/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: callers', workers' and operators' HTTP."""
--- /dev/null
+++ b/src/sardinespool/programs/entry/groups.py
@@ -0,0 +1,84 @@
+"""Calls from the entry to the groups."""
+
+from collections.abc import Mapping
+from typing import Protocol
+from typing import TypeVar
+
+from sardinespool.errors import configuration as configuration_errors
+from sardinespool.errors import replication as replication_errors
+from sardinespool.errors import requests as request_errors
+from sardinespool.errors import tasks as task_errors
+from sardinespool.errors.tasks import NoFailureDomainError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+
+GLOBAL_GROUP = "global"
+
+# An error that a group reports keeps its class only if the module of the
+# class was imported.
+REPORTED_ERRORS = (
+    configuration_errors,
+    replication_errors,
+    request_errors,
+    task_errors,
+)
+
+R = TypeVar("R")
+
+
+class GroupCaller(Protocol):
+    """What the entry needs of a `GroupClient`."""
+
+    async def call(self, request: Request, deadline_unix_ms: int) -> Reply:
+        """Return the reply of the group's leader; raise a typed error."""
+
+
+class Groups:
+    """Clients of all groups by name.
+
+    Parameters
+    ----------
+    clients : Mapping
+        Client of each failure domain's group and of the global group.
+    """
+
+    def __init__(self, clients: Mapping[str, GroupCaller]) -> None:
+        self._clients = dict(clients)
+
+    @property
+    def failure_domains(self) -> list[str]:
+        """Names of the failure domains, in ascending order."""
+        return sorted(set(self._clients) - {GLOBAL_GROUP})
+
+    async def call(
+        self,
+        group: str,
+        request: Request,
+        deadline_unix_ms: int,
+        reply_type: type[R],
+    ) -> R:
+        """Call a group and check the type of its reply.
+
+        Raises
+        ------
+        NoFailureDomainError
+            There is no such group.
+        InvalidMessageError
+            The reply has another type.
+        SardinespoolError
+            The group refused or could not be reached.
+        """
+        client = self._clients.get(group)
+        if client is None:
+            raise NoFailureDomainError(
+                "the settings have no such group", group=group
+            )
+        reply = await client.call(request, deadline_unix_ms)
+        if not isinstance(reply, reply_type):
+            raise InvalidMessageError(
+                "the group sent a reply of another type",
+                group=group,
+                found=type(reply).__name__,
+            )
+        return reply
--- /dev/null
+++ b/src/sardinespool/programs/entry/http_routes.py
@@ -0,0 +1,126 @@
+"""Every path of the entry's listener."""
+
+from collections.abc import Callable
+from typing import Any
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.requests import BodyTooLargeError
+from sardinespool.errors.requests import OutcomeUnknownError
+from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import CONTENT_TYPE
+from sardinespool.observability.metrics import Metrics
+from sardinespool.observability.state_dump import dump_json
+from sardinespool.programs.entry.answers import error_answer
+from sardinespool.programs.entry.answers import json_answer
+from sardinespool.programs.entry.answers import OUTCOME_HEADER
+from sardinespool.programs.entry.answers import outcome_of
+from sardinespool.programs.entry.caller_handler import CallerHandler
+from sardinespool.programs.entry.entry_state import EntryState
+from sardinespool.programs.entry.headers import SERVICES_PATH
+from sardinespool.programs.entry.operator_handler import OPERATOR_PATH
+from sardinespool.programs.entry.operator_handler import OperatorHandler
+from sardinespool.programs.entry.path_errors import MethodNotAllowedError
+from sardinespool.programs.entry.path_errors import PathNotFoundError
+from sardinespool.programs.entry.worker_handler import WorkerHandler
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_messages import HttpRequest
+from sardinespool.transport.http_server import ReceivedRequest
+
+HEARTBEAT_PATH = "/v1/heartbeat"
+
+_LOG = get_logger("entry")
+
+
+class HttpRoutes:
+    """Handler of the entry's listener; it raises nothing.
+
+    Parameters
+    ----------
+    callers, workers, operators
+        Handlers of the three interfaces.
+    state : EntryState
+        Readiness.
+    metrics : Metrics
+        Registry for ``/metrics``.
+    dump : callable
+        Returns the entry's state.
+    """
+
+    def __init__(
+        self,
+        callers: CallerHandler,
+        workers: WorkerHandler,
+        operators: OperatorHandler,
+        state: EntryState,
+        metrics: Metrics,
+        dump: Callable[[], Any],
+    ) -> None:
+        self._callers = callers
+        self._workers = workers
+        self._operators = operators
+        self._state = state
+        self._metrics = metrics
+        self._dump = dump
+
+    async def handle(self, received: ReceivedRequest) -> HttpAnswer:
+        """Answer one request."""
+        try:
+            return await self._dispatch(received)
+        except SardinespoolError as error:
+            return error_answer(error, outcome_of(error))
+        except Exception as error:
+            _LOG.error(
+                "a request failed",
+                target=received.request.target.partition("?")[0],
+                reason=repr(error),
+            )
+            unknown = OutcomeUnknownError("the entry has a fault; see its log")
+            return error_answer(unknown, "unknown")
+
+    async def _dispatch(self, received: ReceivedRequest) -> HttpAnswer:
+        request = received.request
+        path = request.target.partition("?")[0]
+        if path == SERVICES_PATH or path.startswith(SERVICES_PATH + "/"):
+            return await self._callers.handle(received)
+        if received.too_large:
+            raise BodyTooLargeError("the body is over the limit")
+        if path == HEARTBEAT_PATH:
+            _require_method(request, "POST")
+            return await self._workers.heartbeat(request)
+        if path.startswith(OPERATOR_PATH):
+            return await self._operators.handle(request)
+        return self._status(path, request)
+
+    def _status(self, path: str, request: HttpRequest) -> HttpAnswer:
+        if path not in ("/health", "/ready", "/metrics", "/dump"):
+            raise PathNotFoundError("nothing is served at this path")
+        _require_method(request, "GET", "HEAD")
+        match path:
+            case "/health":
+                return json_answer({"ok": True})
+            case "/ready":
+                ready = self._state.ready
+                details = {} if ready else {"reason": self._state.reason}
+                return json_answer(
+                    {"ok": ready, **details}, 200 if ready else 503
+                )
+            case "/metrics":
+                return _body(CONTENT_TYPE, self._metrics.render())
+        return _body("application/json", dump_json(self._dump()))
+
+
+def _body(content_type: str, body: bytes) -> HttpAnswer:
+    return HttpAnswer(
+        200,
+        (("Content-Type", content_type), (OUTCOME_HEADER, "answered")),
+        body,
+    )
+
+
+def _require_method(request: HttpRequest, *allowed: str) -> None:
+    if request.method not in allowed:
+        raise MethodNotAllowedError(
+            "the path does not take this method",
+            found=request.method,
+            allowed=list(allowed),
+        )
--- /dev/null
+++ b/src/sardinespool/programs/entry/operator_bodies.py
@@ -0,0 +1,62 @@
+"""JSON bodies and queries of the operator interface."""
+
+import urllib.parse
+from typing import TypeVar
+
+import msgspec
+
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.base import Record
+from sardinespool.messages.configuration import Change
+from sardinespool.transport.http_messages import HttpRequest
+
+T = TypeVar("T")
+
+
+class PatchBody(Record, frozen=True, kw_only=True):
+    """Body of ``POST patches``; the author is the credential's name."""
+
+    patch_id: str
+    base_version: int
+    changes: tuple[Change, ...]
+
+
+class ApprovalBody(Record, frozen=True, kw_only=True):
+    """Body of ``POST patches/<id>/approve``."""
+
+    digest: str
+
+
+def read_body(request: HttpRequest, body_type: type[T]) -> T:
+    """Decode a JSON body; raise `InvalidMessageError` if malformed."""
+    try:
+        return msgspec.json.decode(request.body, type=body_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise InvalidMessageError(str(error)) from error
+
+
+def read_query(request: HttpRequest) -> dict[str, str]:
+    """Return the last value of each parameter of the query."""
+    query = request.target.partition("?")[2]
+    try:
+        return dict(
+            urllib.parse.parse_qsl(
+                query, keep_blank_values=True, max_num_fields=20
+            )
+        )
+    except ValueError as error:
+        raise InvalidMessageError(str(error)) from error
+
+
+def read_number(query: dict[str, str], name: str, default: int) -> int:
+    """Return a whole number of the query."""
+    text = query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= 15):
+        raise InvalidMessageError(
+            f"parameter {name} has a wrong value",
+            found=text[:40],
+            allowed="a whole number of at least 0",
+        )
+    return int(text)
--- /dev/null
+++ b/src/sardinespool/programs/entry/operator_handler.py
@@ -0,0 +1,114 @@
+"""Routes of the operator interface."""
+
+import dataclasses
+import urllib.parse
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from sardinespool.programs.entry import operator_configuration as patches
+from sardinespool.programs.entry import operator_work as work
+from sardinespool.programs.entry.answers import json_answer
+from sardinespool.programs.entry.credentials import Credentials
+from sardinespool.programs.entry.operator_bodies import read_query
+from sardinespool.programs.entry.operator_call import OperatorCall
+from sardinespool.programs.entry.operator_call import OperatorParts
+from sardinespool.programs.entry.path_errors import MethodNotAllowedError
+from sardinespool.programs.entry.path_errors import PathNotFoundError
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_messages import HttpRequest
+
+OPERATOR_PATH = "/v1/operator/"
+_READERS = ("operator", "approver")
+_OPERATORS = ("operator",)
+_APPROVERS = ("approver",)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    method: str
+    path: tuple[str, ...]
+    roles: tuple[str, ...]
+    run: Callable[[OperatorCall], Awaitable[Any]]
+
+
+_ROUTES = (
+    _Route("POST", ("patches",), _OPERATORS, patches.submit_patch),
+    _Route("GET", ("patches",), _READERS, patches.list_patches),
+    _Route(
+        "POST", ("patches", "*", "approve"), _APPROVERS, patches.approve_patch
+    ),
+    _Route("POST", ("patches", "*", "reject"), _READERS, patches.reject_patch),
+    _Route("GET", ("configuration",), _READERS, patches.read_configuration),
+    _Route("GET", ("versions",), _READERS, patches.list_versions),
+    _Route("GET", ("status",), _READERS, patches.read_status),
+    _Route("POST", ("jobs",), _OPERATORS, work.submit_job),
+    _Route("GET", ("jobs",), _READERS, work.list_jobs),
+    _Route("POST", ("jobs", "*", "cancel"), _OPERATORS, work.cancel_job),
+    _Route("GET", ("tasks",), _READERS, work.list_tasks),
+    _Route("GET", ("workers",), _READERS, work.list_workers),
+    _Route("GET", ("endpoints",), _READERS, work.list_endpoints),
+    _Route(
+        "POST",
+        ("failure-domains", "*", "restrict"),
+        _OPERATORS,
+        work.restrict_starts,
+    ),
+    _Route("GET", ("dump",), _OPERATORS, work.dump_state),
+)
+
+
+class OperatorHandler:
+    """Answers ``/v1/operator/...``.
+
+    Parameters
+    ----------
+    parts : OperatorParts
+        What requests are carried out with.
+    credentials : Credentials
+        Tokens of operators and approvers.
+    """
+
+    def __init__(self, parts: OperatorParts, credentials: Credentials) -> None:
+        self._parts = parts
+        self._credentials = credentials
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answer one request; a refusal is raised."""
+        path = request.target.partition("?")[0].removeprefix(OPERATOR_PATH)
+        segments = tuple(
+            urllib.parse.unquote(segment) for segment in path.split("/")
+        )
+        route = _find_route(request.method, segments)
+        credential = self._credentials.require(request, *route.roles)
+        call = OperatorCall(
+            request=request,
+            operator=credential.name,
+            parameters=tuple(
+                segment
+                for segment, wanted in zip(segments, route.path, strict=True)
+                if wanted == "*"
+            ),
+            query=read_query(request),
+            parts=self._parts,
+        )
+        return json_answer(await route.run(call))
+
+
+def _find_route(method: str, segments: tuple[str, ...]) -> _Route:
+    methods = []
+    for route in _ROUTES:
+        if len(route.path) == len(segments) and all(
+            wanted in ("*", segment)
+            for wanted, segment in zip(route.path, segments, strict=True)
+        ):
+            if route.method == method:
+                return route
+            methods.append(route.method)
+    if methods:
+        raise MethodNotAllowedError(
+            "the path does not take this method",
+            found=method,
+            allowed=methods,
+        )
+    raise PathNotFoundError("nothing is served at this path")
--- /dev/null
+++ b/src/sardinespool/programs/entry/router_task.py
@@ -0,0 +1,90 @@
+"""Task that owns the router."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Set as AbstractSet
+
+from sardinespool.clock import Instant
+from sardinespool.routing.fair_queue import Waiting
+from sardinespool.routing.router import Router
+from sardinespool.routing.router_events import EndpointsChanged
+from sardinespool.routing.router_events import RouterEvent
+from sardinespool.routing.router_events import SlotAssigned
+from sardinespool.routing.router_events import SlotRefused
+from sardinespool.routing.router_events import SlotWanted
+from sardinespool.routing.router_events import SlotWithdrawn
+from sardinespool.routing.router_events import Tick
+from sardinespool.routing.router_events import ViewReceived
+
+TICK_INTERVAL_MS = 50
+
+SlotReceiver = Callable[[SlotAssigned | SlotRefused], None]
+
+
+class RouterTask:
+    """Feeds the router from a queue and delivers what it decides.
+
+    Parameters
+    ----------
+    router : Router
+        Owned by this task; others may read it.
+    clock : callable
+        Returns the present instant.
+    retain : callable
+        Told the addresses that connections are kept to.
+
+    Attributes
+    ----------
+    synced : asyncio.Event
+        Set once the router follows a view.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        clock: Callable[[], Instant],
+        retain: Callable[[AbstractSet[str]], None],
+    ) -> None:
+        self.router = router
+        self._clock = clock
+        self._retain = retain
+        self.synced = asyncio.Event()
+        self._events: asyncio.Queue[RouterEvent] = asyncio.Queue()
+        self._receivers: dict[str, SlotReceiver] = {}
+
+    def want(self, waiting: Waiting, receiver: SlotReceiver) -> None:
+        """Ask for a slot; `receiver` is called once, unless withdrawn."""
+        self._receivers[waiting.ticket] = receiver
+        self._events.put_nowait(SlotWanted(waiting))
+
+    def post(self, event: RouterEvent) -> None:
+        """Add an event to the queue."""
+        self._events.put_nowait(event)
+
+    async def run(self) -> None:
+        """Handle events until cancelled."""
+        while True:
+            self._handle(await self._events.get())
+
+    async def run_ticks(self) -> None:
+        """Send ticks while requests wait, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_MS / 1000)
+            if self.router.queued():
+                self.post(Tick())
+
+    def _handle(self, event: RouterEvent) -> None:
+        if isinstance(event, SlotWithdrawn):
+            # A slot that was assigned before this event has been delivered.
+            self._receivers.pop(event.ticket, None)
+        effects = self.router.handle(event, self._clock())
+        if isinstance(event, ViewReceived):
+            self.synced.set()
+        for effect in effects:
+            match effect:
+                case SlotAssigned(ticket) | SlotRefused(ticket):
+                    receiver = self._receivers.pop(ticket, None)
+                    if receiver is not None:
+                        receiver(effect)
+                case EndpointsChanged(addresses):
+                    self._retain(addresses)
--- /dev/null
+++ b/src/sardinespool/programs/entry/wiring.py
@@ -0,0 +1,151 @@
+"""Parts of one entry, put together."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Any
+
+from sardinespool.clock import Instant
+from sardinespool.errors.settings import SettingsError
+from sardinespool.observability.metrics import Metrics
+from sardinespool.programs.entry.caller_handler import CallerHandler
+from sardinespool.programs.entry.credentials import Credentials
+from sardinespool.programs.entry.entry_dump import entry_dump
+from sardinespool.programs.entry.entry_metrics import EntryMetrics
+from sardinespool.programs.entry.entry_state import EntryState
+from sardinespool.programs.entry.forwarding import Forwarder
+from sardinespool.programs.entry.groups import Groups
+from sardinespool.programs.entry.http_routes import HttpRoutes
+from sardinespool.programs.entry.operator_call import OperatorParts
+from sardinespool.programs.entry.operator_handler import OperatorHandler
+from sardinespool.programs.entry.request_runner import RunnerParts
+from sardinespool.programs.entry.router_task import RouterTask
+from sardinespool.programs.entry.sync_task import SyncTask
+from sardinespool.programs.entry.worker_handler import WorkerHandler
+from sardinespool.routing.key_source import KeySource
+from sardinespool.routing.router import Router
+from sardinespool.settings.model import EntryMember
+from sardinespool.settings.model import EntrySettings
+from sardinespool.transport.endpoint_pool import EndpointPool
+from sardinespool.transport.http_server import HttpListener
+from sardinespool.transport.http_server import ServerLimits
+from sardinespool.transport.tls import peer_client_context
+from sardinespool.transport.tls import server_context
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the process starts and stops."""
+
+    member: EntryMember
+    state: EntryState
+    router: RouterTask
+    sync: SyncTask
+    callers: CallerHandler
+    listener: HttpListener
+    endpoint_pool: EndpointPool
+    entry_pool: EndpointPool
+    dump: Callable[[], dict[str, Any]]
+
+
+def wire_entry(
+    settings: EntrySettings, groups: Groups, clock: Callable[[], Instant]
+) -> EntryParts:
+    """Create the parts; nothing runs and no socket is open yet.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    groups : Groups
+        Clients of the groups.
+    clock : callable
+        Returns the present instant.
+
+    Raises
+    ------
+    SettingsError
+        The entry's name is not in the cluster settings.
+    """
+    cluster = settings.cluster
+    member = _member_named(settings)
+    domain = member.failure_domain
+    generator = random.SystemRandom()
+    state = EntryState()
+    metrics = Metrics("entry", settings.name)
+    entry_metrics = EntryMetrics(metrics)
+    credentials = Credentials(cluster.credentials)
+    endpoint_pool = EndpointPool(settings.body_limit_bytes, clock)
+    entry_pool = EndpointPool(
+        settings.body_limit_bytes, clock, peer_client_context(cluster.tls)
+    )
+    own = [each for each in cluster.entries if each.failure_domain == domain]
+    others = [each for each in cluster.entries if each not in own]
+    router = RouterTask(
+        Router(len(own), settings.queue_length, generator.getrandbits(64)),
+        clock,
+        endpoint_pool.retain,
+    )
+    keys = KeySource(domain, cluster.failure_domains, generator)
+    sync = SyncTask(member, groups, router, keys, state, clock, entry_metrics)
+    runner_parts = RunnerParts(
+        clock=clock,
+        router=router,
+        pool=endpoint_pool,
+        groups=groups,
+        forwarder=Forwarder(others, entry_pool, clock),
+        metrics=entry_metrics,
+    )
+    callers = CallerHandler(settings, state, credentials, keys, runner_parts)
+
+    def dump() -> dict[str, Any]:
+        return entry_dump(
+            member,
+            state,
+            router.router,
+            endpoint_pool,
+            callers.running,
+            clock(),
+        )
+
+    operator_parts = OperatorParts(
+        failure_domain=domain,
+        groups=groups,
+        table=router.router.table,
+        clock=clock,
+        dump=dump,
+    )
+    routes = HttpRoutes(
+        callers,
+        WorkerHandler(domain, groups, credentials, clock),
+        OperatorHandler(operator_parts, credentials),
+        state,
+        metrics,
+        dump,
+    )
+    listener = HttpListener(
+        member.address,
+        routes.handle,
+        ServerLimits(settings.body_limit_bytes),
+        server_context(cluster.tls),
+    )
+    return EntryParts(
+        member=member,
+        state=state,
+        router=router,
+        sync=sync,
+        callers=callers,
+        listener=listener,
+        endpoint_pool=endpoint_pool,
+        entry_pool=entry_pool,
+        dump=dump,
+    )
+
+
+def _member_named(settings: EntrySettings) -> EntryMember:
+    for entry in settings.cluster.entries:
+        if entry.name == settings.name:
+            return entry
+    raise SettingsError(
+        "the entry is not in the cluster settings", name=settings.name
+    )
--- /dev/null
+++ b/src/sardinespool/programs/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler program: placement decisions of one failure domain."""
--- /dev/null
+++ b/src/sardinespool/programs/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store program: replicated groups on a host with a disk."""
--- /dev/null
+++ b/src/sardinespool/programs/store/store_process.py
@@ -0,0 +1,332 @@
+"""The store process: its groups, listeners and shutdown."""
+
+import asyncio
+import pathlib
+import zlib
+from typing import Any
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.errors.transport import NotReadyError
+from sardinespool.groups.contract import GroupMachine
+from sardinespool.groups.contract import GroupService
+from sardinespool.groups.domain_machine import DomainMachine
+from sardinespool.groups.domain_service import DomainService
+from sardinespool.groups.global_machine import GlobalMachine
+from sardinespool.groups.global_service import GlobalService
+from sardinespool.groups.refusal import refused
+from sardinespool.messages import codec
+from sardinespool.messages.dump import DumpState
+from sardinespool.messages.dump import StateDump
+from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
+from sardinespool.observability.signals import ProgramSignals
+from sardinespool.observability.state_dump import dump_json
+from sardinespool.observability.status_server import ProbeResult
+from sardinespool.observability.status_server import StatusServer
+from sardinespool.programs.store.domain_link import DomainLink
+from sardinespool.programs.store.group_runner import GroupRunner
+from sardinespool.programs.store.store_metrics import StoreMetrics
+from sardinespool.replication import messages as peer_messages
+from sardinespool.replication.messages import PeerMessage
+from sardinespool.replication.replica import Replica
+from sardinespool.replication.settings import ReplicaSettings
+from sardinespool.settings.model import StoreMember
+from sardinespool.settings.model import StoreSettings
+from sardinespool.storage.group_store import GroupStore
+from sardinespool.transport import system_clock
+from sardinespool.transport.connector import Connector
+from sardinespool.transport.frame_server import FrameServer
+from sardinespool.transport.rpc_client import GroupClient
+from sardinespool.transport.tls import peer_server_context
+
+GLOBAL_GROUP = "global"
+METRICS_INTERVAL_MS = 500
+TRANSFER_TIMEOUT_MS = 3_000
+
+_LOG = get_logger("store")
+
+
+class StoreProcess:
+    """Runs the groups of which this store is a member.
+
+    Parameters
+    ----------
+    settings : StoreSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self._settings = settings
+        self._cluster = settings.cluster
+        self._member = _member_named(settings)
+        self._metrics = Metrics("store", settings.name)
+        self._store_metrics = StoreMetrics(self._metrics)
+        self._stopping = asyncio.Event()
+        self._aborted = asyncio.Event()
+        self._runners: dict[str, GroupRunner] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve until a signal ends the process."""
+        signals = ProgramSignals(
+            self._stopping.set, self._aborted.set, self._log_dump
+        )
+        signals.install(asyncio.get_running_loop())
+        self._connector = Connector(
+            self._cluster, "store", self._settings.name
+        )
+        server = FrameServer(
+            self._cluster.cluster_token,
+            self,
+            peer_server_context(self._cluster.tls),
+        )
+        status = StatusServer(
+            self._settings.http_address,
+            self._metrics,
+            health=lambda: True,
+            ready=self._ready,
+            dump=self._dump,
+        )
+        self._start_groups()
+        server.start_listening(self._member.address)
+        status.start()
+        _LOG.info(
+            "Started.",
+            name=self._settings.name,
+            address=self._member.address,
+            groups=",".join(self._runners),
+        )
+        await self._wait_for_end()
+        await self._transfer_leadership()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        server.close()
+        await status.stop()
+        await self._connector.close()
+        _LOG.info("Stopped.", name=self._settings.name)
+
+    async def handle_call(
+        self, group: str, body: bytes, deadline_unix_ms: int
+    ) -> bytes:
+        """Return the encoded reply to a call."""
+        name = "unknown"
+        started = system_clock.now()
+        code = "ok"
+        try:
+            request = codec.decode_request(body)
+            name = type(request).__name__
+            reply = await self._runner(group).call(request)
+        except SardinespoolError as error:
+            code = error.code
+            reply = refused(error)
+        elapsed_ms = system_clock.now().boot_ms - started.boot_ms
+        self._store_metrics.calls.inc(request=name, code=code)
+        self._store_metrics.call_latency_ms.observe(elapsed_ms, request=name)
+        return codec.encode(reply)
+
+    def handle_peer(self, group: str, sender: str, body: bytes) -> None:
+        """Take a replication message."""
+        runner = self._runners.get(group)
+        if runner is None:
+            return
+        try:
+            message = peer_messages.decode_peer_message(body)
+        except SardinespoolError as error:
+            _LOG.warning(
+                "Dropped a message.",
+                group=group,
+                sender=sender,
+                code=error.code,
+            )
+            return
+        runner.deliver(sender, message)
+
+    def _runner(self, group: str) -> GroupRunner:
+        runner = self._runners.get(group)
+        if runner is None:
+            raise InvalidMessageError(
+                "The store is not a member of this group.", group=group
+            )
+        if self._stopping.is_set() and not runner.serving:
+            raise NotReadyError("The store is stopping.")
+        return runner
+
+    def _start_groups(self) -> None:
+        for group in self._member.groups:
+            runner = self._make_runner(group)
+            self._runners[group] = runner
+            self._tasks.append(asyncio.create_task(runner.run()))
+            if group != GLOBAL_GROUP:
+                link = DomainLink(
+                    runner,
+                    GroupClient(
+                        GLOBAL_GROUP,
+                        self._group_addresses(GLOBAL_GROUP),
+                        self._connector,
+                    ),
+                )
+                self._tasks.append(asyncio.create_task(link.run()))
+        self._tasks.append(asyncio.create_task(self._update_metrics()))
+
+    def _make_runner(self, group: str) -> GroupRunner:
+        store = GroupStore(pathlib.Path(self._settings.data_folder) / group)
+        state = store.load()
+        peers = tuple(
+            name
+            for name in self._group_addresses(group)
+            if name != self._settings.name
+        )
+        seed = zlib.crc32(f"{self._settings.name}/{group}".encode())
+        timing = self._settings.replication
+        replica = Replica(
+            ReplicaSettings(
+                group=group,
+                name=self._settings.name,
+                peers=peers,
+                bootstrap=self._settings.bootstrap,
+                heartbeat_interval_ms=timing.heartbeat_interval_ms,
+                lease_ms=timing.lease_ms,
+                election_timeout_min_ms=timing.election_timeout_min_ms,
+                election_timeout_max_ms=timing.election_timeout_max_ms,
+            ),
+            state,
+            seed,
+            system_clock.now(),
+        )
+        machine, service = self._make_state(group)
+
+        def send(name: str, message: PeerMessage) -> None:
+            self._send(group, name, message)
+
+        return GroupRunner(
+            group,
+            replica,
+            store,
+            machine,
+            service,
+            send,
+            system_clock.now,
+            self._store_metrics,
+            timing.snapshot_every_entries,
+            self._settings.reformed,
+        )
+
+    def _make_state(self, group: str) -> tuple[GroupMachine, GroupService]:
+        if group == GLOBAL_GROUP:
+            machine = GlobalMachine()
+            return machine, GlobalService(machine)
+        entry_count = sum(
+            entry.failure_domain == group for entry in self._cluster.entries
+        )
+        domain = DomainMachine(group)
+        return domain, DomainService(domain, group, entry_count)
+
+    def _send(self, group: str, name: str, message: PeerMessage) -> None:
+        address = self._group_addresses(group).get(name)
+        if address is not None:
+            self._connector.send_peer(
+                address,
+                group,
+                self._settings.name,
+                peer_messages.encode_peer_message(message),
+            )
+
+    def _group_addresses(self, group: str) -> dict[str, str]:
+        return {
+            store.name: store.address
+            for store in self._cluster.stores
+            if group in store.groups
+        }
+
+    def _ready(self) -> ProbeResult:
+        leaders = {
+            group: runner.status.leader
+            for group, runner in self._runners.items()
+        }
+        ok = not self._stopping.is_set() and all(leaders.values())
+        return ProbeResult(ok, {"leaders": leaders})
+
+    async def _dump(self) -> dict[str, Any]:
+        dump: dict[str, Any] = {"name": self._settings.name, "groups": {}}
+        for group, runner in self._runners.items():
+            state: dict[str, Any] = {"replica": runner.status}
+            if runner.serving:
+                reply = await runner.call(DumpState())
+                if isinstance(reply, StateDump):
+                    state["state"] = reply
+            dump["groups"][group] = state
+        return dump
+
+    def _log_dump(self) -> None:
+        task = asyncio.ensure_future(self._dump())
+        task.add_done_callback(
+            lambda done: _LOG.info(
+                "State dump.", dump=dump_json(done.result()).decode()
+            )
+        )
+
+    async def _update_metrics(self) -> None:
+        while True:
+            for group, runner in self._runners.items():
+                status = runner.status
+                metrics = self._store_metrics
+                metrics.term.set(status.term, group=group)
+                metrics.commit_index.set(status.commit_index, group=group)
+                metrics.serving.set(int(runner.serving), group=group)
+            await asyncio.sleep(METRICS_INTERVAL_MS / 1000)
+
+    async def _wait_for_end(self) -> None:
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        # A task of a group ends by a fault only: its files can't be used.
+        done, _ = await asyncio.wait(
+            [stopping, *self._tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+        for task in done - {stopping}:
+            await task
+
+    async def _transfer_leadership(self) -> None:
+        leading = [
+            runner
+            for runner in self._runners.values()
+            if runner.serving and len(runner.status.voters) > 1
+        ]
+        for runner in leading:
+            await runner.transfer_leadership()
+        waits = [
+            asyncio.create_task(runner.not_serving.wait())
+            for runner in leading
+        ]
+        aborted = asyncio.create_task(self._aborted.wait())
+        # Without a voter that takes over, the others elect a leader once
+        # this process has ended.
+        if waits:
+            await asyncio.wait(
+                [asyncio.ensure_future(_first_of(aborted, waits))],
+                timeout=TRANSFER_TIMEOUT_MS / 1000,
+            )
+        for wait in (aborted, *waits):
+            wait.cancel()
+
+
+async def _first_of(
+    aborted: asyncio.Task[Any], waits: list[asyncio.Task[Any]]
+) -> None:
+    """Return once all of `waits` are done, or `aborted` is."""
+    remaining = set(waits)
+    while remaining and not aborted.done():
+        done, _ = await asyncio.wait(
+            remaining | {aborted}, return_when=asyncio.FIRST_COMPLETED
+        )
+        remaining -= done
+
+
+def _member_named(settings: StoreSettings) -> StoreMember:
+    for store in settings.cluster.stores:
+        if store.name == settings.name:
+            return store
+    raise InvalidMessageError(
+        "The store is not in the cluster settings.", name=settings.name
+    )
--- /dev/null
+++ b/src/sardinespool/replication/messages.py
@@ -0,0 +1,178 @@
+"""Messages between the members of a group."""
+
+import msgspec
+
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.base import Message
+from sardinespool.replication.configuration import Configuration
+from sardinespool.replication.entries import Entry
+
+
+class Header(msgspec.Struct, frozen=True, array_like=True):
+    """Fields of every peer message.
+
+    `sender` and `recipient` are identities; the recipient of a join request
+    is "". `formation` identifies the formation of the sender's group and is
+    "" if the sender has no configuration.
+    """
+
+    group: str
+    sender: str
+    recipient: str
+    term: int
+    formation: str
+
+
+class PreVoteRequest(Message, frozen=True, kw_only=True):
+    """Ask whether a vote for `proposed_term` would be granted."""
+
+    header: Header
+    proposed_term: int
+    last_index: int
+    last_term: int
+    configuration_index: int
+
+
+class PreVoteReply(Message, frozen=True, kw_only=True):
+    """Answer to a `PreVoteRequest`; changes no state of the voter."""
+
+    header: Header
+    proposed_term: int
+    granted: bool
+
+
+class VoteRequest(Message, frozen=True, kw_only=True):
+    """Ask for the vote in the header's term.
+
+    `transfer` is set when the leader of the previous term gave its lease up
+    for this candidate.
+    """
+
+    header: Header
+    last_index: int
+    last_term: int
+    configuration_index: int
+    transfer: bool = False
+
+
+class VoteReply(Message, frozen=True, kw_only=True):
+    """Answer to a `VoteRequest` in the header's term."""
+
+    header: Header
+    granted: bool
+
+
+class AppendEntries(Message, frozen=True, kw_only=True):
+    """Entries after `previous_index`; without entries, a heartbeat.
+
+    `sent_boot_ms` is the leader's clock and is returned in the reply.
+    """
+
+    header: Header
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    sent_boot_ms: int
+
+
+class AppendReply(Message, frozen=True, kw_only=True):
+    """Answer to `AppendEntries`.
+
+    If `success`, the log equals the leader's up to `match_index`. Otherwise
+    `conflict_index` is where the leader should try next and `conflict_term`
+    the term that the follower has at `previous_index` (0 if none).
+    """
+
+    header: Header
+    success: bool
+    previous_index: int
+    match_index: int
+    conflict_index: int
+    conflict_term: int
+    sent_boot_ms: int
+
+
+class SnapshotChunk(Message, frozen=True, kw_only=True):
+    """Bytes of a snapshot from `offset_bytes`."""
+
+    header: Header
+    snapshot_index: int
+    snapshot_term: int
+    configuration: Configuration
+    total_bytes: int
+    offset_bytes: int
+    data: bytes
+    sent_boot_ms: int
+
+
+class SnapshotReply(Message, frozen=True, kw_only=True):
+    """Answer to a `SnapshotChunk`.
+
+    `next_offset_bytes` is the number of bytes received. `done` says that the
+    follower holds everything up to the snapshot's index.
+    """
+
+    header: Header
+    snapshot_index: int
+    next_offset_bytes: int
+    done: bool
+    sent_boot_ms: int
+
+
+class TimeoutNow(Message, frozen=True, kw_only=True):
+    """The leader gave its lease up; start an election at once."""
+
+    header: Header
+
+
+class JoinRequest(Message, frozen=True, kw_only=True):
+    """A member without a configuration asks about the group."""
+
+    header: Header
+    bootstrap: bool
+
+
+class JoinReply(Message, frozen=True, kw_only=True):
+    """Answer to a `JoinRequest`.
+
+    `initial_members` is empty if the sender has no configuration.
+    `bootstrap` is the sender's setting.
+    """
+
+    header: Header
+    bootstrap: bool
+    initial_members: tuple[str, ...]
+
+
+PeerMessage = (
+    PreVoteRequest
+    | PreVoteReply
+    | VoteRequest
+    | VoteReply
+    | AppendEntries
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | TimeoutNow
+    | JoinRequest
+    | JoinReply
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(
+    PeerMessage
+)
+
+
+def encode_peer_message(message: PeerMessage) -> bytes:
+    """Encode a message with its tag."""
+    return _ENCODER.encode(message)
+
+
+def decode_peer_message(data: bytes) -> PeerMessage:
+    """Decode a message; raise `InvalidMessageError` if it is malformed."""
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise InvalidMessageError(str(error)) from error
--- /dev/null
+++ b/src/sardinespool/replication/settings.py
@@ -0,0 +1,27 @@
+"""Settings of one replica."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaSettings:
+    """Group, names and timing of one replica.
+
+    `peers` are the configured names of the other members. `lease_ms` must
+    be shorter than `election_timeout_min_ms`: the difference absorbs clocks
+    that run at different rates.
+    """
+
+    group: str
+    name: str
+    peers: tuple[str, ...] = ()
+    bootstrap: bool = False
+    heartbeat_interval_ms: int = 150
+    lease_ms: int = 900
+    election_timeout_min_ms: int = 1200
+    election_timeout_max_ms: int = 2400
+    join_interval_ms: int = 500
+    append_limit_bytes: int = 262_144
+    appends_in_flight: int = 8
+    retained_entries: int = 500
+    """Entries kept in memory below a snapshot, for followers that lag."""
--- /dev/null
+++ b/src/sardinespool/routing/idempotent_flow.py
@@ -0,0 +1,220 @@
+"""Flow of an idempotent request: retries within a budget."""
+
+import dataclasses
+
+from sardinespool.clock import Instant
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.requests import NoEndpointError
+from sardinespool.errors.requests import OutcomeUnknownError
+from sardinespool.routing.forward_ending import forward_ending
+from sardinespool.routing.hedging import HedgePolicy
+from sardinespool.routing.request_effects import CancelSend
+from sardinespool.routing.request_effects import FlowEffect
+from sardinespool.routing.request_effects import Forward
+from sardinespool.routing.request_effects import ReplyAnswered
+from sardinespool.routing.request_effects import ReplyForwarded
+from sardinespool.routing.request_effects import ReplyNotRun
+from sardinespool.routing.request_effects import ReplyUnknown
+from sardinespool.routing.request_effects import ReturnSlot
+from sardinespool.routing.request_effects import Send
+from sardinespool.routing.request_effects import Wake
+from sardinespool.routing.request_effects import WantSlot
+from sardinespool.routing.request_effects import WithdrawSlot
+from sardinespool.routing.request_events import Answered
+from sardinespool.routing.request_events import FlowEvent
+from sardinespool.routing.request_events import ForwardEnded
+from sardinespool.routing.request_events import SendEnded
+from sardinespool.routing.request_events import SendResult
+from sardinespool.routing.request_events import SlotDenied
+from sardinespool.routing.request_events import SlotGiven
+from sardinespool.routing.request_events import Started
+from sardinespool.routing.request_events import Woken
+from sardinespool.routing.request_plan import RequestPlan
+from sardinespool.routing.retry_budget import RetryBudget
+from sardinespool.routing.router_events import SlotUse
+from sardinespool.routing.send_failure import deadline_error
+from sardinespool.routing.send_failure import read_failure
+
+_PATIENCE_FACTOR = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Exchange:
+    worker_id: str
+    sent_boot_ms: int
+
+
+class IdempotentFlow:
+    """State of one idempotent request; see `RequestFlow`."""
+
+    def __init__(
+        self, plan: RequestPlan, budget: RetryBudget, hedging: HedgePolicy
+    ) -> None:
+        self._plan = plan
+        self._budget = budget
+        self._hedging = hedging
+        self._number = 0
+        self._wanted: int | None = None
+        self._exchanges: dict[int, _Exchange] = {}
+        self._excluded: frozenset[str] = frozenset()
+        self._bytes_left = False
+        self._hedged = False
+        self._last_error: SardinespoolError | None = None
+        self.done = False
+
+    def handle(self, event: FlowEvent, now: Instant) -> list[FlowEffect]:
+        """Take one event and return what follows from it."""
+        if self.done:
+            return self._after_end(event)
+        match event:
+            case Started(has_endpoint):
+                return self._start(has_endpoint, now)
+            case SlotGiven():
+                return self._send(event, now)
+            case SlotDenied(number, error):
+                return self._slot_denied(number, error)
+            case SendEnded(number, result):
+                return self._send_ended(number, result, now)
+            case ForwardEnded(result):
+                return self._end(
+                    forward_ending(
+                        result, self._plan.own_key, self._bytes_left
+                    )
+                )
+            case Woken():
+                return self._hedge(now)
+        return []
+
+    def may_send_first_byte(self, now: Instant) -> bool:
+        """Tell whether the deadline is still ahead."""
+        return not self.done and now.unix_ms < self._plan.deadline_unix_ms
+
+    def _after_end(self, event: FlowEvent) -> list[FlowEffect]:
+        if isinstance(event, SlotGiven):
+            return [ReturnSlot(event.number, SlotUse.UNUSED)]
+        return []
+
+    def _start(self, has_endpoint: bool, now: Instant) -> list[FlowEffect]:
+        self._budget.count_request()
+        if now.unix_ms >= self._plan.deadline_unix_ms:
+            return self._end_without_answer()
+        if not has_endpoint and not self._plan.forwarded:
+            return self._forward()
+        return [self._want_slot()]
+
+    def _want_slot(self) -> WantSlot:
+        self._number += 1
+        self._wanted = self._number
+        return WantSlot(self._number, self._excluded)
+
+    def _send(self, slot: SlotGiven, now: Instant) -> list[FlowEffect]:
+        self._wanted = None
+        self._exchanges[slot.number] = _Exchange(slot.worker_id, now.boot_ms)
+        effects: list[FlowEffect] = [
+            Send(
+                number=slot.number,
+                worker_id=slot.worker_id,
+                address=slot.address,
+                connection_limit=slot.connection_limit,
+                deadline_unix_ms=self._exchange_deadline(slot, now),
+                key=self._plan.own_key,
+            )
+        ]
+        delay_ms = self._hedging.delay_ms(slot.expected_ms)
+        if delay_ms is not None and not self._hedged:
+            effects.append(Wake(now.unix_ms + delay_ms))
+        return effects
+
+    def _exchange_deadline(self, slot: SlotGiven, now: Instant) -> int:
+        """Return when a silent endpoint is given up for another one.
+
+        Half of the remaining time, so that a retry has the other half, but
+        never less than eight mean service times, so that slow answers of a
+        healthy endpoint are not cut off.
+        """
+        remaining_ms = self._plan.deadline_unix_ms - now.unix_ms
+        patience_ms = max(
+            remaining_ms // 2, round(_PATIENCE_FACTOR * slot.expected_ms)
+        )
+        return min(self._plan.deadline_unix_ms, now.unix_ms + patience_ms)
+
+    def _slot_denied(
+        self, number: int, error: SardinespoolError
+    ) -> list[FlowEffect]:
+        if number != self._wanted:
+            return []
+        self._wanted = None
+        if self._exchanges:
+            return []
+        if isinstance(error, NoEndpointError) and not self._plan.forwarded:
+            return self._forward()
+        self._last_error = error
+        return self._end_without_answer()
+
+    def _send_ended(
+        self, number: int, result: SendResult, now: Instant
+    ) -> list[FlowEffect]:
+        exchange = self._exchanges.pop(number)
+        latency_ms = float(now.boot_ms - exchange.sent_boot_ms)
+        failure = read_failure(
+            result, exchange.worker_id, self._plan.deadline_unix_ms, now
+        )
+        if failure is None:
+            assert isinstance(result, Answered)
+            return [
+                ReturnSlot(number, result.slot_use, latency_ms),
+                *self._cancel_rest(),
+                *self._end(ReplyAnswered(result.answer, self._plan.own_key)),
+            ]
+        use = failure.use
+        self._last_error = failure.error
+        self._bytes_left = self._bytes_left or failure.may_have_run
+        free = failure.unsent and exchange.worker_id not in self._excluded
+        self._excluded |= {exchange.worker_id}
+        effects: list[FlowEffect] = [ReturnSlot(number, use, latency_ms)]
+        if self._exchanges or self._wanted is not None:
+            return effects
+        if self.may_send_first_byte(now) and (free or self._budget.take()):
+            return [*effects, self._want_slot()]
+        return [*effects, *self._end_without_answer()]
+
+    def _hedge(self, now: Instant) -> list[FlowEffect]:
+        if (
+            self._hedged
+            or len(self._exchanges) != 1
+            or self._wanted is not None
+            or not self.may_send_first_byte(now)
+            or not self._budget.take()
+        ):
+            return []
+        self._hedged = True
+        (exchange,) = self._exchanges.values()
+        self._excluded |= {exchange.worker_id}
+        return [self._want_slot()]
+
+    def _cancel_rest(self) -> list[FlowEffect]:
+        effects: list[FlowEffect] = []
+        for number in self._exchanges:
+            effects.append(CancelSend(number))
+            effects.append(ReturnSlot(number, SlotUse.UNUSED))
+        if self._wanted is not None:
+            effects.append(WithdrawSlot(self._wanted))
+        return effects
+
+    def _forward(self) -> list[FlowEffect]:
+        return [Forward(self._plan.own_key)]
+
+    def _end_without_answer(self) -> list[FlowEffect]:
+        error = self._last_error or deadline_error(self._plan.deadline_unix_ms)
+        if not self._bytes_left:
+            return self._end(ReplyNotRun(error, self._plan.own_key))
+        if not isinstance(error, OutcomeUnknownError):
+            error = OutcomeUnknownError(error.text, **error.details)
+        return self._end(ReplyUnknown(error, self._plan.own_key))
+
+    def _end(
+        self,
+        reply: ReplyAnswered | ReplyForwarded | ReplyNotRun | ReplyUnknown,
+    ) -> list[FlowEffect]:
+        self.done = True
+        return [reply]
--- /dev/null
+++ b/src/sardinespool/routing/key_source.py
@@ -0,0 +1,60 @@
+"""Keys that an entry generates, each with its home."""
+
+import random
+from collections.abc import Sequence
+
+from sardinespool.routing.keys import generate_key
+from sardinespool.routing.keys import KeyHome
+from sardinespool.routing.keys import rendezvous_order
+
+
+class KeySource:
+    """Generates keys and tells which home to try next.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The entry's own, which is the first home.
+    failure_domains : Sequence[str]
+        All, from the settings.
+    generator : random.Random
+        Source of the random parts.
+
+    Attributes
+    ----------
+    group_incarnation : str
+        Incarnation of the own domain's group, as last synchronised.
+    own_group_reachable : bool
+        False if the own group did not answer the last synchronisations; new
+        keys then get another home at once.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        failure_domains: Sequence[str],
+        generator: random.Random,
+    ) -> None:
+        self._own = failure_domain
+        self.failure_domains = tuple(failure_domains)
+        self._generator = generator
+        self.group_incarnation = ""
+        self.own_group_reachable = True
+
+    def homes(self, request_id: str) -> list[str]:
+        """Return the homes to try for a generated key, in order.
+
+        The own group comes first, or last while it can't be reached.
+        """
+        others = rendezvous_order(
+            request_id,
+            [name for name in self.failure_domains if name != self._own],
+        )
+        if self.own_group_reachable:
+            return [self._own, *others]
+        return [*others, self._own]
+
+    def generate(self, home: str, unix_ms: int) -> KeyHome:
+        """Return a new key that lives in `home`."""
+        incarnation = self.group_incarnation if home == self._own else ""
+        return generate_key(home, incarnation, unix_ms, self._generator)
--- /dev/null
+++ b/src/sardinespool/routing/recorded_state.py
@@ -0,0 +1,17 @@
+"""States of a non-idempotent request."""
+
+import enum
+
+
+class RecordedState(enum.Enum):
+    """What the request waits for."""
+
+    NEW = enum.auto()
+    WAITING_FOR_SLOT = enum.auto()
+    BEGINNING = enum.auto()
+    WAITING_FOR_OTHER = enum.auto()
+    SENDING = enum.auto()
+    FINISHING = enum.auto()
+    ABANDONING = enum.auto()
+    FORWARDING = enum.auto()
+    ENDED = enum.auto()
--- /dev/null
+++ b/src/sardinespool/routing/send_failure.py
@@ -0,0 +1,63 @@
+"""What an exchange without an endpoint's answer means."""
+
+import dataclasses
+
+from sardinespool.clock import Instant
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.requests import DeadlineUnreachableError
+from sardinespool.errors.requests import EndpointRefusedError
+from sardinespool.errors.requests import NoEndpointError
+from sardinespool.errors.requests import OutcomeUnknownError
+from sardinespool.routing.request_events import Answered
+from sardinespool.routing.request_events import Lost
+from sardinespool.routing.request_events import NotSent
+from sardinespool.routing.request_events import SendResult
+from sardinespool.routing.router_events import SlotUse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendFailure:
+    """A failed exchange.
+
+    `may_have_run` is False only if no byte left or the endpoint said that it
+    did not run the request. `unsent` is True if no byte left and there is
+    still time; another endpoint then costs no retry.
+    """
+
+    use: SlotUse
+    error: SardinespoolError
+    may_have_run: bool = False
+    unsent: bool = False
+
+
+def read_failure(
+    result: SendResult, worker_id: str, deadline_unix_ms: int, now: Instant
+) -> SendFailure | None:
+    """Return how an exchange failed, None if the endpoint answered.
+
+    A send that came too late is not the endpoint's failure.
+    """
+    match result:
+        case Answered(_, not_run):
+            if not not_run:
+                return None
+            refused = EndpointRefusedError(
+                "the endpoint refused the request", worker_id=worker_id
+            )
+            return SendFailure(SlotUse.REFUSED, refused)
+        case NotSent():
+            if now.unix_ms >= deadline_unix_ms:
+                late = deadline_error(deadline_unix_ms)
+                return SendFailure(SlotUse.UNUSED, late)
+            not_sent = NoEndpointError(result.reason, worker_id=worker_id)
+            return SendFailure(SlotUse.UNREACHABLE, not_sent, unsent=True)
+        case Lost():
+            lost = OutcomeUnknownError(result.reason, worker_id=worker_id)
+            return SendFailure(SlotUse.FAILED, lost, may_have_run=True)
+
+
+def deadline_error(deadline_unix_ms: int) -> DeadlineUnreachableError:
+    """Return the error of a request whose deadline has passed."""
+    return DeadlineUnreachableError(
+        "the deadline has passed", deadline_unix_ms=deadline_unix_ms
+    )
--- /dev/null
+++ b/src/sardinespool/storage/folder_lock.py
@@ -0,0 +1,37 @@
+"""Exclusive use of a data folder."""
+
+import fcntl
+import os
+import pathlib
+
+from sardinespool.errors.storage import DataFolderError
+
+
+class FolderLock:
+    """Lock that ends with the process or with `release`."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._descriptor = os.open(
+                folder / "lock", os.O_RDWR | os.O_CREAT, 0o644
+            )
+        except OSError as error:
+            raise DataFolderError(
+                f"The data folder can't be used: {error.strerror}.",
+                folder=str(folder),
+            ) from error
+        try:
+            fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._descriptor)
+            raise DataFolderError(
+                "The data folder is in use by another process.",
+                folder=str(folder),
+            ) from error
+
+    def release(self) -> None:
+        """Let another process use the folder."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
--- /dev/null
+++ b/src/sardinespool/storage/segments.py
@@ -0,0 +1,203 @@
+"""Log segments: append-only files of records.
+
+Nothing in a segment is ever overwritten. An entry replaces all entries from
+its index on, and a `TRUNCATE` record drops them, so a crash between any two
+writes leaves a prefix of the written records.
+"""
+
+import dataclasses
+import os
+import pathlib
+from collections.abc import Sequence
+
+from sardinespool.errors.storage import CorruptLogError
+from sardinespool.replication.entries import Entry
+from sardinespool.storage.files import sync_folder
+from sardinespool.storage.files import write_all
+from sardinespool.storage.records import encode_record
+from sardinespool.storage.records import has_record_after
+from sardinespool.storage.records import read_records
+from sardinespool.storage.records import RecordKind
+
+SEGMENT_PREFIX = "segment-"
+
+
+@dataclasses.dataclass(slots=True)
+class Segment:
+    """A segment file and the highest entry index it ever held."""
+
+    path: pathlib.Path
+    last_index: int = 0
+
+
+class Segments:
+    """All segments of a folder; the last one is written.
+
+    `entries` are those in force after `load`; the caller takes them, and
+    later only the terms of the entries are kept.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._segments: list[Segment] = []
+        self._descriptor = -1
+        self._pending: list[bytes] = []
+        self._first_index = 1
+        self._terms: list[int] = []
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in force, or one before the first."""
+        return self._first_index + len(self._terms) - 1
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry in force."""
+        position = index - self._first_index
+        if 0 <= position < len(self._terms):
+            return self._terms[position]
+        return None
+
+    @property
+    def first_index(self) -> int | None:
+        """Index of the first entry in force, or None."""
+        return self._first_index if self._terms else None
+
+    def load(self) -> list[Entry]:
+        """Read all segments, cut a torn tail and return the entries.
+
+        Raises
+        ------
+        CorruptLogError
+            A damaged record is followed by valid ones, or entries are
+            missing.
+        """
+        entries: list[Entry] = []
+        paths = sorted(self._folder.glob(SEGMENT_PREFIX + "*"))
+        for path in paths:
+            segment = Segment(path)
+            self._load_segment(segment, path == paths[-1], entries)
+            self._segments.append(segment)
+        if entries:
+            self._first_index = entries[0].index
+        self._terms = [entry.term for entry in entries]
+        if paths:
+            self._descriptor = os.open(paths[-1], os.O_WRONLY | os.O_APPEND)
+        else:
+            self.rotate()
+        return entries
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Queue entries for the next sync."""
+        for entry in entries:
+            if not self._terms:
+                self._first_index = entry.index
+            position = entry.index - self._first_index
+            if not 0 <= position <= len(self._terms):
+                raise CorruptLogError(
+                    "An appended entry does not follow the log.",
+                    index=entry.index,
+                    last_index=self.last_index,
+                )
+            del self._terms[position:]
+            self._terms.append(entry.term)
+            self._pending.append(
+                encode_record(
+                    entry.index, entry.term, entry.kind, entry.payload
+                )
+            )
+            segment = self._segments[-1]
+            segment.last_index = max(segment.last_index, entry.index)
+
+    def truncate_from(self, index: int) -> None:
+        """Queue the removal of the entries from `index` on."""
+        del self._terms[max(0, index - self._first_index) :]
+        self._pending.append(encode_record(index, 0, RecordKind.TRUNCATE))
+
+    def sync(self) -> None:
+        """Write what is queued and make it durable with one sync."""
+        if self._pending:
+            write_all(self._descriptor, b"".join(self._pending))
+            self._pending.clear()
+            os.fdatasync(self._descriptor)
+
+    def rotate(self) -> None:
+        """Start a new segment; nothing may be queued."""
+        number = 1
+        if self._segments:
+            name = self._segments[-1].path.name
+            number = int(name.removeprefix(SEGMENT_PREFIX)) + 1
+        path = self._folder / f"{SEGMENT_PREFIX}{number:012d}"
+        descriptor = os.open(
+            path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND, 0o644
+        )
+        sync_folder(self._folder)
+        self.close()
+        self._descriptor = descriptor
+        self._segments.append(Segment(path))
+
+    def remove_through(self, index: int) -> None:
+        """Remove the oldest segments whose entries end at `index`.
+
+        Only oldest ones, since a `TRUNCATE` record acts on older segments.
+        """
+        removed = False
+        while len(self._segments) > 1:
+            if self._segments[0].last_index > index:
+                break
+            self._segments.pop(0).path.unlink()
+            removed = True
+        if removed:
+            sync_folder(self._folder)
+        drop = min(len(self._terms), max(0, index - self._first_index))
+        del self._terms[:drop]
+        self._first_index += drop
+
+    def close(self) -> None:
+        """Close the file that is written."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+
+    def _load_segment(
+        self, segment: Segment, is_last: bool, entries: list[Entry]
+    ) -> None:
+        data = segment.path.read_bytes()
+        end = 0
+        for record in read_records(data):
+            end = record.end
+            if record.kind is RecordKind.TRUNCATE:
+                _drop_from(entries, record.index)
+                continue
+            _drop_from(entries, record.index)
+            if entries and record.index != entries[-1].index + 1:
+                raise CorruptLogError(
+                    "Entries are missing in the log.",
+                    file=str(segment.path),
+                    index=record.index,
+                    last_index=entries[-1].index,
+                )
+            entries.append(record.entry())
+            segment.last_index = max(segment.last_index, record.index)
+        if end == len(data):
+            return
+        if not is_last or has_record_after(data, end):
+            raise CorruptLogError(
+                "A record before the end of the log fails its checksum.",
+                file=str(segment.path),
+                offset_bytes=end,
+            )
+        _cut(segment.path, end)
+
+
+def _drop_from(entries: list[Entry], index: int) -> None:
+    if entries:
+        del entries[max(0, index - entries[0].index) :]
+
+
+def _cut(path: pathlib.Path, size: int) -> None:
+    descriptor = os.open(path, os.O_WRONLY)
+    try:
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/src/sardinespool/tasks/absence.py
@@ -0,0 +1,70 @@
+"""Attempts that a worker turned out not to have."""
+
+from collections.abc import Iterable
+
+from sardinespool.clock import CLOCK_ERROR_MS
+from sardinespool.messages.commands import DenyTasks
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.tasks.record import TaskRecord
+from sardinespool.tasks.table import TaskTable
+
+
+def absent_tasks(
+    active: Iterable[TaskRecord], heartbeat: Heartbeat
+) -> list[TaskRecord]:
+    """Return the active tasks whose attempt the worker does not have.
+
+    A worker lists every attempt that it has started until the end of the
+    attempt is acknowledged, and starts none after the start deadline. So a
+    heartbeat that was sent after that deadline and does not list the attempt
+    proves that the attempt does not run and will not start, in whichever
+    order heartbeats arrive. The margin covers a step of the worker's clock.
+    """
+    listed = {(report.task_id, report.attempt) for report in heartbeat.tasks}
+    return [
+        task
+        for task in active
+        if task.worker_incarnation == heartbeat.incarnation
+        and heartbeat.sent_unix_ms
+        > task.start_deadline_unix_ms + CLOCK_ERROR_MS
+        and (task.task_id, task.attempt) not in listed
+    ]
+
+
+class AbsenceTracker:
+    """Absent attempts that wait for `DenyTasks`; volatile."""
+
+    def __init__(self) -> None:
+        self._absent: dict[str, TaskRecord] = {}
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._absent = {}
+
+    def note(self, tasks: Iterable[TaskRecord]) -> None:
+        """Remember absent attempts."""
+        for task in tasks:
+            self._absent[task.task_id] = task
+
+    def commands(self, table: TaskTable, now_unix_ms: int) -> list[DenyTasks]:
+        """Return denials, one for each worker's incarnation."""
+        by_worker: dict[tuple[str, int], list[tuple[str, int]]] = {}
+        for task_id, absent in list(self._absent.items()):
+            task = table.tasks.get(task_id)
+            if task is None or not task.is_current(
+                absent.worker_id, absent.worker_incarnation, absent.attempt
+            ):
+                del self._absent[task_id]
+                continue
+            if now_unix_ms < task.start_deadline_unix_ms + CLOCK_ERROR_MS:
+                continue
+            worker = (task.worker_id, task.worker_incarnation)
+            by_worker.setdefault(worker, []).append((task_id, task.attempt))
+        return [
+            DenyTasks(
+                worker_id=worker_id,
+                incarnation=incarnation,
+                attempts=tuple(sorted(attempts)),
+            )
+            for (worker_id, incarnation), attempts in sorted(by_worker.items())
+        ]
--- /dev/null
+++ b/src/sardinespool/tasks/heartbeats.py
@@ -0,0 +1,103 @@
+"""What a heartbeat changes and what its reply holds."""
+
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.messages.tasks import HeartbeatReply
+from sardinespool.messages.tasks import TaskDirective
+from sardinespool.messages.tasks import TaskReport
+from sardinespool.tasks import transitions
+from sardinespool.tasks.record import TaskRecord
+from sardinespool.tasks.table import TaskTable
+from sardinespool.tasks.workers import announced
+from sardinespool.tasks.workers import WorkerTable
+
+TERMINAL_REPORTS = frozenset(("stopped", "completed", "failed", "refused"))
+"""States of a report that end the attempt."""
+
+
+def current_task(
+    table: TaskTable, heartbeat: Heartbeat, report: TaskReport
+) -> TaskRecord | None:
+    """Return the task if the report is of its current attempt."""
+    task = table.tasks.get(report.task_id)
+    if task is not None and task.is_current(
+        heartbeat.worker_id, heartbeat.incarnation, report.attempt
+    ):
+        return task
+    return None
+
+
+def must_record(
+    table: TaskTable, workers: WorkerTable, heartbeat: Heartbeat
+) -> bool:
+    """Return whether a heartbeat changes replicated state."""
+    worker = workers.workers.get(heartbeat.worker_id)
+    if worker is None or announced(worker, heartbeat) is not worker:
+        return True
+    for report in heartbeat.tasks:
+        task = current_task(table, heartbeat, report)
+        if task is None:
+            continue
+        sent_unix_ms = heartbeat.sent_unix_ms
+        if (
+            transitions.reported(task, report, sent_unix_ms, sent_unix_ms)
+            is not task
+        ):
+            return True
+    return False
+
+
+def reply_to(
+    table: TaskTable, heartbeat: Heartbeat, lease_deadline_unix_ms: int
+) -> HeartbeatReply:
+    """Return the reply once the heartbeat's changes are in force."""
+    directives = []
+    acknowledged = []
+    listed = set()
+    for report in heartbeat.tasks:
+        if current_task(table, heartbeat, report) is not None:
+            listed.add(report.task_id)
+        elif report.state in TERMINAL_REPORTS:
+            acknowledged.append(report.task_id)
+        else:
+            directives.append(
+                TaskDirective(
+                    task_id=report.task_id,
+                    attempt=report.attempt,
+                    action="stop",
+                )
+            )
+    for task in table.on_worker(heartbeat.worker_id):
+        if task.worker_incarnation == heartbeat.incarnation:
+            directives.append(_directive(table, task, task.task_id in listed))
+    return HeartbeatReply(
+        lease_deadline_unix_ms=lease_deadline_unix_ms,
+        directives=tuple(directives),
+        acknowledged_tasks=tuple(acknowledged),
+    )
+
+
+def _directive(
+    table: TaskTable, task: TaskRecord, listed: bool
+) -> TaskDirective:
+    if task.state == "stopping":
+        # An attempt that was not started has nothing to checkpoint.
+        stop = task.cancel_requested or task.stop_checkpointed or not listed
+        return TaskDirective(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            action="stop" if stop else "checkpoint",
+            throttle_share=task.throttle_share,
+        )
+    # A worker that lists the attempt has its payload and checkpoint.
+    return TaskDirective(
+        task_id=task.task_id,
+        attempt=task.attempt,
+        action="run",
+        start_deadline_unix_ms=task.start_deadline_unix_ms,
+        checkpoint="" if listed else task.checkpoint,
+        payload="" if listed else table.jobs[task.job_id].job.payload,
+        throttle_share=task.throttle_share,
+        processors_millicores=task.reserved_processors_millicores,
+        memory_mb=task.reserved_memory_mb,
+        accelerators=task.reserved_accelerators,
+    )
--- /dev/null
+++ b/src/sardinespool/tasks/jobs.py
@@ -0,0 +1,158 @@
+"""Job changes of the global group, release and removal of jobs."""
+
+from typing import Literal
+
+import msgspec
+
+from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.errors.tasks import JobNotFoundError
+from sardinespool.messages.commands import Refused
+from sardinespool.messages.jobs import Job
+from sardinespool.messages.jobs import JobChange
+from sardinespool.messages.jobs import ReleasedJob
+from sardinespool.messages.jobs import TaskTransfer
+from sardinespool.messages.tasks import Accepted
+from sardinespool.tasks import transitions
+from sardinespool.tasks.job_record import JobRecord
+from sardinespool.tasks.record import task_id_of
+from sardinespool.tasks.record import TaskRecord
+from sardinespool.tasks.table import TaskTable
+
+
+def _first_record(
+    job: Job, number: int, transfer: TaskTransfer | None, now_unix_ms: int
+) -> TaskRecord:
+    task = TaskRecord(
+        task_id=task_id_of(job, number),
+        job_id=job.job_id,
+        number=number,
+        queued_unix_ms=now_unix_ms,
+    )
+    if transfer is None:
+        return task
+    return msgspec.structs.replace(
+        task,
+        state=transfer.state,
+        attempt=transfer.attempt,
+        checkpoint=transfer.checkpoint,
+        checkpoint_attempt=transfer.attempt if transfer.checkpoint else 0,
+    )
+
+
+def accept_change(
+    table: TaskTable, change: JobChange, now_unix_ms: int
+) -> None:
+    """Take one change whose sequence is the next one."""
+    record = table.jobs.get(change.job_id)
+    if change.action == "cancel":
+        if record is not None and record.state == "open":
+            for task in table.of_job(change.job_id):
+                table.put(transitions.cancelled(task))
+        return
+    if change.job is None:
+        return
+    if record is not None and record.state == "finished":
+        # The global group missed the end of the job: report it again.
+        table.put_job(
+            msgspec.structs.replace(
+                record, assign_sequence=change.sequence, recorded_unix_ms=0
+            )
+        )
+        return
+    if record is not None and record.state == "open":
+        return
+    transfers = {transfer.number: transfer for transfer in change.transfers}
+    table.add_job(
+        JobRecord(job=change.job, assign_sequence=change.sequence),
+        [
+            _first_record(
+                change.job, number, transfers.get(number), now_unix_ms
+            )
+            for number in range(change.job.task_count)
+        ],
+    )
+
+
+def release(table: TaskTable, job_id: str) -> Accepted | Refused:
+    """Give up a job of which no task can occupy a worker."""
+    record = table.jobs.get(job_id)
+    if record is None:
+        return Refused(
+            code=JobNotFoundError.code, text=f"No job has the id {job_id}."
+        )
+    if record.state == "released":
+        return Accepted()
+    if record.state == "finished":
+        return Refused(
+            code=InvalidJobError.code, text=f"Job {job_id} has finished."
+        )
+    active = table.active_count(job_id)
+    if active:
+        return Refused(
+            code=InvalidJobError.code,
+            text=f"Job {job_id} has tasks that are not stopped.",
+            details={"active_tasks": active},
+        )
+    table.put_job(msgspec.structs.replace(record, state="released"))
+    for task in table.of_job(job_id):
+        if task.state == "queued":
+            table.put(msgspec.structs.replace(task, state="released"))
+    return Accepted()
+
+
+def released_jobs(table: TaskTable) -> tuple[ReleasedJob, ...]:
+    """Return the released jobs that the global group has not recorded."""
+    return tuple(
+        ReleasedJob(
+            job_id=job_id,
+            assign_sequence=table.jobs[job_id].assign_sequence,
+            tasks=tuple(_transfer(task) for task in table.of_job(job_id)),
+        )
+        for job_id in sorted(table.released_jobs)
+    )
+
+
+def _transfer(task: TaskRecord) -> TaskTransfer:
+    state: Literal["queued", "completed", "failed", "cancelled"] = "queued"
+    match task.state:
+        case "completed" | "failed" | "cancelled":
+            state = task.state
+    return TaskTransfer(
+        number=task.number,
+        attempt=task.attempt,
+        state=state,
+        checkpoint=task.checkpoint,
+    )
+
+
+def record_finished(table: TaskTable, job_id: str, now_unix_ms: int) -> None:
+    """Note that the global group knows the end of a job."""
+    if job_id in table.finished_jobs:
+        table.put_job(
+            msgspec.structs.replace(
+                table.jobs[job_id], recorded_unix_ms=now_unix_ms
+            )
+        )
+
+
+def record_released(table: TaskTable, job_id: str) -> None:
+    """Remove a released job that the global group now holds."""
+    if job_id in table.released_jobs:
+        table.remove_job(job_id)
+
+
+def forget_jobs(table: TaskTable, before_unix_ms: int) -> None:
+    """Remove the tasks, and later the ids, of recorded jobs."""
+    for record in table.due_removals(before_unix_ms):
+        job_id = record.job.job_id
+        if record.forgotten:
+            table.remove_job(job_id)
+            continue
+        table.remove_tasks(job_id)
+        table.put_job(
+            msgspec.structs.replace(
+                record,
+                job=msgspec.structs.replace(record.job, payload=""),
+                forgotten=True,
+            )
+        )
--- /dev/null
+++ b/src/sardinespool/tasks/observations.py
@@ -0,0 +1,53 @@
+"""What workers last reported of themselves and of their tasks."""
+
+from sardinespool.messages.tasks import Heartbeat
+from sardinespool.messages.tasks import TaskReport
+from sardinespool.tasks.record import TaskRecord
+
+
+class Observations:
+    """Newest heartbeat of each worker; volatile, on the leader only."""
+
+    def __init__(self) -> None:
+        self._heartbeats: dict[str, Heartbeat] = {}
+        self._reports: dict[str, dict[str, TaskReport]] = {}
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._heartbeats = {}
+        self._reports = {}
+
+    def note(self, heartbeat: Heartbeat) -> None:
+        """Remember a heartbeat unless a later one is known."""
+        known = self._heartbeats.get(heartbeat.worker_id)
+        if known is not None and (
+            (known.incarnation, known.sent_unix_ms)
+            > (heartbeat.incarnation, heartbeat.sent_unix_ms)
+        ):
+            return
+        self._heartbeats[heartbeat.worker_id] = heartbeat
+        self._reports[heartbeat.worker_id] = {
+            report.task_id: report for report in heartbeat.tasks
+        }
+
+    def forget(self, worker_id: str) -> None:
+        """Forget a worker."""
+        self._heartbeats.pop(worker_id, None)
+        self._reports.pop(worker_id, None)
+
+    def usage_of(self, task: TaskRecord) -> TaskReport | None:
+        """Return the last report of a task's current attempt."""
+        report = self._reports.get(task.worker_id, {}).get(task.task_id)
+        if report is None or report.attempt != task.attempt:
+            return None
+        return report
+
+    def request_latency_p99_ms(self, worker_id: str) -> float:
+        """Return the worker's own request latency, 0 if not known."""
+        heartbeat = self._heartbeats.get(worker_id)
+        return 0.0 if heartbeat is None else heartbeat.request_latency_p99_ms
+
+    @property
+    def worker_ids(self) -> list[str]:
+        """Return the workers that have reported."""
+        return sorted(self._heartbeats)
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -12,7 +12,7 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import AuthenticationError
 from sardinespool.errors.transport import ConnectionLostError
-from sardinespool.transport.addresses import split_address
+from sardinespool.settings.addresses import split_address
 from sardinespool.transport.frame_stream import FrameStream
 from sardinespool.transport.frames import Frame
 from sardinespool.transport.frames import FrameKind
--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -10,7 +10,7 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
-from sardinespool.transport.addresses import split_address
+from sardinespool.settings.addresses import split_address
 from sardinespool.transport.frame_stream import FrameStream
 from sardinespool.transport.frames import Frame
 from sardinespool.transport.frames import FrameKind
--- /dev/null
+++ b/testing/capacity/test_grants.py
@@ -0,0 +1,127 @@
+"""Slot grants and their division."""
+
+import random
+
+import pytest
+
+from sardinespool.capacity.grants import GrantTable
+from sardinespool.capacity.shares import apportion
+from sardinespool.clock import CLOCK_ERROR_MS
+from sardinespool.messages.capacity import Endpoint
+from sardinespool.messages.capacity import EntrySync
+from sardinespool.messages.capacity import SlotDemand
+
+
+def _endpoint(slots: int, leaving: bool = False) -> Endpoint:
+    return Endpoint(
+        worker_id="w1",
+        incarnation=1,
+        address="ip:1",
+        services=("seats",),
+        slots=slots,
+        connections=64,
+        leaving=leaving,
+    )
+
+
+def _sync(
+    table: GrantTable,
+    entry_id: str,
+    now: int,
+    in_use: int = 0,
+    stopping: bool = False,
+    endpoint: Endpoint | None = None,
+) -> int:
+    sync = EntrySync(
+        entry_id=entry_id,
+        address="",
+        known_version=0,
+        known_table_version=0,
+        demands=(SlotDemand(worker_id="w1", in_use=in_use),),
+        stopping=stopping,
+    )
+    endpoints = (endpoint or _endpoint(8),)
+    return sum(grant.slots for grant in table.sync(sync, endpoints, now))
+
+
+def _table(entry_count: int) -> GrantTable:
+    table = GrantTable(entry_count)
+    table.become_leader(-(3_000 + CLOCK_ERROR_MS))
+    return table
+
+
+@pytest.mark.parametrize(
+    ("total", "weights", "shares"),
+    [
+        (0, {"a": 1}, {"a": 0}),
+        (2, {}, {}),
+        (2, {"a": 1, "b": 1, "c": 1}, {"a": 1, "b": 1, "c": 0}),
+        (8, {"a": 3, "b": 1}, {"a": 6, "b": 2}),
+        (7, {"a": 5, "b": 5}, {"a": 4, "b": 3}),
+    ],
+)
+def test_apportion(
+    total: int, weights: dict[str, int], shares: dict[str, int]
+) -> None:
+    """Guards against shares that do not add up to the total."""
+    assert apportion(total, weights) == shares
+
+
+def test_new_leader_waits_for_earlier_grants() -> None:
+    """Guards against two leaders that grant the same slot."""
+    table = GrantTable(3)
+    table.become_leader(0)
+    assert _sync(table, "a", 3_000 + CLOCK_ERROR_MS - 1) == 0
+    assert _sync(table, "a", 3_000 + CLOCK_ERROR_MS) == 2
+
+
+@pytest.mark.parametrize(
+    ("stopping", "later_ms", "slots"),
+    [(False, 3_250, 0), (False, 3_251, 2), (True, 0, 2)],
+)
+def test_slot_moves_after_the_old_deadline(
+    stopping: bool, later_ms: int, slots: int
+) -> None:
+    """Guards against one slot used by two entries."""
+    table = _table(3)
+    assert _sync(table, "a", 0) == 2
+    if stopping:
+        assert _sync(table, "a", 0, stopping=True) == 0
+    assert _sync(table, "b", later_ms, in_use=99) == slots
+
+
+def test_leaving_endpoint_gets_no_grant() -> None:
+    """Guards against new work for an endpoint that leaves (R8)."""
+    leaving = _endpoint(8, leaving=True)
+    assert _sync(_table(3), "a", 0, endpoint=leaving) == 0
+
+
+@pytest.mark.parametrize("entry_count", [1, 3, 9])
+def test_slots_in_use_never_exceed_the_endpoint(entry_count: int) -> None:
+    """Guards against overcommitted slots under changing demand and losses.
+
+    An entry that misses a reply goes on with its earlier grant until its
+    deadline by its own clock, which may be `CLOCK_ERROR_MS` late.
+    """
+    chooser = random.Random(7)
+    table = _table(entry_count)
+    names = [f"e{number}" for number in range(entry_count)]
+    held: dict[str, list[tuple[int, int]]] = {name: [] for name in names}
+    granted = 0
+    for now in range(0, 60_000, 50):
+        name = chooser.choice(names)
+        if chooser.random() < 0.05:
+            _sync(table, name, now, stopping=True)
+            held[name] = []
+        else:
+            slots = _sync(table, name, now, in_use=chooser.randrange(9))
+            if chooser.random() < 0.7:
+                held[name] = []
+            held[name].append((slots, now + 3_000 + CLOCK_ERROR_MS))
+        in_use = sum(
+            max((slots for slots, until in grants if until >= now), default=0)
+            for grants in held.values()
+        )
+        assert in_use + 8 // entry_count * entry_count <= 8
+        granted = max(granted, in_use)
+    assert granted == 8 % entry_count
--- /dev/null
+++ b/testing/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry program and its HTTP transport."""
--- /dev/null
+++ b/testing/entry/test_http_server.py
@@ -0,0 +1,180 @@
+"""Listener: limits and graceful stop."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_server import Handler
+from sardinespool.transport.http_server import HttpListener
+from sardinespool.transport.http_server import ReceivedRequest
+from sardinespool.transport.http_server import ServerLimits
+from testing.entry.http_standin import in_loop
+
+LIMIT_BYTES = 1_000
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    handler: Handler,
+) -> AsyncIterator[tuple[HttpListener, str]]:
+    address = free_address()
+    listener = HttpListener(address, handler, ServerLimits(LIMIT_BYTES))
+    listener.start()
+    yield listener, address
+    listener.stop_accepting()
+    await listener.drain(0)
+
+
+async def echo(received: ReceivedRequest) -> HttpAnswer:
+    status = 413 if received.too_large else 200
+    return HttpAnswer(status, (), received.request.body)
+
+
+@pytest.mark.parametrize(
+    ("size_bytes", "chunked", "status", "open_after"),
+    [
+        (1_000, False, 200, True),
+        (1_001, False, 413, True),
+        (1_000, True, 200, True),
+        (1_001, True, 413, True),
+        (100_000_000, False, 413, False),
+    ],
+)
+@in_loop
+async def test_body_over_the_limit_gets_an_answer(
+    size_bytes: int, chunked: bool, status: int, open_after: bool
+) -> None:
+    """Guards against a reset that hides why a request was refused."""
+    async with listening(echo) as (listener, address):
+        reader, writer = await connect(address)
+        if chunked:
+            body = f"{size_bytes:x}\r\n{'x' * size_bytes}\r\n0\r\n\r\n"
+            length = "Transfer-Encoding: chunked"
+        else:
+            body = "x" * min(size_bytes, 10_000)
+            length = f"Content-Length: {size_bytes}"
+        writer.write(f"POST /a HTTP/1.1\r\n{length}\r\n\r\n{body}".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(f"HTTP/1.1 {status} ".encode())
+        if open_after:
+            await reader.readexactly(size_bytes if status == 200 else 0)
+            writer.write(b"GET /b HTTP/1.1\r\n\r\n")
+            assert b" 200 OK" in await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+
+@in_loop
+async def test_stop_finishes_requests_and_closes_idle_connections() -> None:
+    """Guards against a planned stop that cuts a caller off (R9)."""
+    arrived = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def slow(received: ReceivedRequest) -> HttpAnswer:
+        if received.request.target == "/slow":
+            arrived.set()
+            await go_on.wait()
+        return HttpAnswer(200, (), b"whole answer")
+
+    async with listening(slow) as (listener, address):
+        idle_reader, idle_writer = await connect(address)
+        idle_writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await idle_reader.readuntil(b"whole answer")
+        reader, writer = await connect(address)
+        writer.write(b"GET /slow HTTP/1.1\r\n\r\n")
+        await arrived.wait()
+        listener.stop_accepting()
+        with pytest.raises(ConnectionError):
+            await connect(address)
+        drained = asyncio.create_task(listener.drain(0))
+        go_on.set()
+        answer = await reader.read()
+        assert answer.endswith(b"whole answer")
+        assert b"Connection: close" in answer
+        assert await idle_reader.read() == b""
+        await drained
+        for each in (writer, idle_writer):
+            each.close()
+
+
+@in_loop
+async def test_request_on_its_way_to_a_stopping_server_is_answered() -> None:
+    """Guards against a cut connection for a caller that just sent (R9)."""
+    async with listening(echo) as (listener, address):
+        reader, writer = await connect(address)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        listener.stop_accepting()
+        drained = asyncio.create_task(listener.drain(60))
+        writer.write(b"GET /b HTTP/1.1\r\n\r\n")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200 OK")
+        # The last connection has ended, so nothing is waited for.
+        await drained
+        writer.close()
+
+
+@in_loop
+async def test_caller_that_leaves_does_not_block_the_stop() -> None:
+    """Guards against a stop that waits for a connection that is gone."""
+    arrived = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def slow(received: ReceivedRequest) -> HttpAnswer:
+        arrived.set()
+        await go_on.wait()
+        return HttpAnswer(200, (), b"x" * 10_000_000)
+
+    async with listening(slow) as (listener, address):
+        _, writer = await connect(address)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await arrived.wait()
+        writer.transport.abort()
+        go_on.set()
+        listener.stop_accepting()
+        await listener.drain(0)
+        assert listener.in_progress == 0
+
+
+@pytest.mark.parametrize(
+    ("status", "method", "length"),
+    [(200, "HEAD", b"4"), (204, "GET", None), (200, "GET", b"4")],
+)
+@in_loop
+async def test_answers_without_body_keep_the_connection_in_step(
+    status: int, method: str, length: bytes | None
+) -> None:
+    """Guards against a body that the next answer begins with."""
+
+    async def answer(received: ReceivedRequest) -> HttpAnswer:
+        return HttpAnswer(status, (), b"body")
+
+    async with listening(answer) as (listener, address):
+        reader, writer = await connect(address)
+        for _ in range(2):
+            writer.write(f"{method} /a HTTP/1.1\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(f"HTTP/1.1 {status}".encode())
+            if length is None:
+                assert b"Content-Length" not in head
+            else:
+                assert b"Content-Length: " + length in head
+            if method == "GET" and status == 200:
+                await reader.readexactly(4)
+        writer.close()
--- /dev/null
+++ b/testing/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics, state dumps and status routes."""
--- /dev/null
+++ b/testing/replication/test_rules.py
@@ -0,0 +1,231 @@
+"""Rules of a single replica, driven by messages."""
+
+import msgspec
+import pytest
+
+from sardinespool.clock import Instant
+from sardinespool.replication.configuration import Configuration
+from sardinespool.replication.configuration import encode_configuration
+from sardinespool.replication.configuration import formation_of
+from sardinespool.replication.effects import Apply
+from sardinespool.replication.effects import Effect
+from sardinespool.replication.effects import Persist
+from sardinespool.replication.effects import ProposalAccepted
+from sardinespool.replication.effects import ProposalRefused
+from sardinespool.replication.effects import Send
+from sardinespool.replication.entries import Entry
+from sardinespool.replication.entries import EntryKind
+from sardinespool.replication.events import Event
+from sardinespool.replication.events import PeerMessageReceived
+from sardinespool.replication.events import Propose
+from sardinespool.replication.events import Tick
+from sardinespool.replication.events import TransferLeadership
+from sardinespool.replication.messages import AppendEntries
+from sardinespool.replication.messages import AppendReply
+from sardinespool.replication.messages import Header
+from sardinespool.replication.messages import PeerMessage
+from sardinespool.replication.messages import PreVoteReply
+from sardinespool.replication.messages import TimeoutNow
+from sardinespool.replication.messages import VoteReply
+from sardinespool.replication.messages import VoteRequest
+from sardinespool.replication.replica import Replica
+from sardinespool.replication.settings import ReplicaSettings
+from sardinespool.replication.state import HardState
+from sardinespool.replication.state import PersistedState
+
+MEMBERS = ("a#1", "b#1", "c#1")
+FORMATION = formation_of(MEMBERS)
+FIRST = Entry(
+    1,
+    1,
+    EntryKind.CONFIGURATION,
+    encode_configuration(Configuration(MEMBERS, MEMBERS)),
+)
+OLD = Entry(2, 2, EntryKind.COMMAND, b"old")
+START_MS = 50_000
+LATER_MS = START_MS + 5_000
+
+
+def header(
+    sender: str = "b#1", term: int = 3, recipient: str = "a#1"
+) -> Header:
+    return Header("g", sender, recipient, term, FORMATION)
+
+
+class Driver:
+    """Replica a of three, with one entry of term 2 after the first."""
+
+    def __init__(self, state: PersistedState | None = None) -> None:
+        settings = ReplicaSettings("g", "a", ("b", "c"), True)
+        self.state = state or PersistedState(
+            HardState("1", 2), None, (FIRST, OLD)
+        )
+        self.replica = Replica(
+            settings, self.state, 1, Instant(START_MS, START_MS)
+        )
+
+    def handle(self, event: Event, at_ms: int = LATER_MS) -> list[Effect]:
+        return self.replica.handle(event, Instant(at_ms, at_ms))
+
+    def receive(
+        self, message: PeerMessage, at_ms: int = LATER_MS
+    ) -> list[Effect]:
+        sender = message.header.sender.partition("#")[0]
+        return self.handle(PeerMessageReceived(sender, message), at_ms)
+
+    def lead(self) -> None:
+        """Win the election of term 3; the no-op is entry 3."""
+        self.handle(Tick())
+        self.receive(
+            PreVoteReply(header=header(term=2), proposed_term=3, granted=True)
+        )
+        self.receive(VoteReply(header=header(), granted=True))
+
+    def acknowledge(
+        self, match_index: int, sent_ms: int = LATER_MS, at_ms: int = LATER_MS
+    ) -> list[Effect]:
+        return self.receive(
+            AppendReply(
+                header=header(),
+                success=True,
+                previous_index=0,
+                match_index=match_index,
+                conflict_index=0,
+                conflict_term=0,
+                sent_boot_ms=sent_ms,
+            ),
+            at_ms,
+        )
+
+    def is_leader(self, at_ms: int) -> bool:
+        return self.replica.is_leader(Instant(at_ms, at_ms))
+
+
+def vote_request(sender: str, term: int, index: int = 2) -> VoteRequest:
+    return VoteRequest(
+        header=header(sender, term),
+        last_index=index,
+        last_term=2,
+        configuration_index=1,
+    )
+
+
+def granted(effects: list[Effect]) -> bool:
+    return any(
+        isinstance(effect, Send)
+        and isinstance(effect.message, VoteReply)
+        and effect.message.granted
+        for effect in effects
+    )
+
+
+def test_entry_of_an_old_term_is_not_committed_alone() -> None:
+    """Guards against a commit that a later leader can still replace."""
+    driver = Driver()
+    driver.lead()
+    assert not any(isinstance(e, Apply) for e in driver.acknowledge(2))
+    (applied,) = (e for e in driver.acknowledge(3) if isinstance(e, Apply))
+    assert [e.index for e in applied.entries] == [1, 2, 3]
+
+
+def test_vote_survives_a_restart() -> None:
+    """Guards against two votes of one member in a term."""
+    driver = Driver()
+    effects = driver.receive(vote_request("b#1", 5))
+    assert granted(effects)
+    (persist,) = (e for e in effects if isinstance(e, Persist))
+    assert persist.hard_state is not None
+    again = Driver(
+        PersistedState(persist.hard_state, None, driver.state.entries)
+    )
+    assert not granted(again.receive(vote_request("c#1", 5)))
+    assert granted(again.receive(vote_request("b#1", 5)))
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "index", "expected"),
+    [(START_MS + 1199, 2, False), (LATER_MS, 1, False), (LATER_MS, 2, True)],
+)
+def test_vote_conditions(at_ms: int, index: int, expected: bool) -> None:
+    """Guards against votes within a lease or for a shorter log."""
+    driver = Driver()
+    assert granted(driver.receive(vote_request("b#1", 5, index), at_ms)) is (
+        expected
+    )
+
+
+def test_lease_counts_from_the_send_time() -> None:
+    """Guards against a slow answer that extends the lease."""
+    driver = Driver()
+    driver.lead()
+    driver.acknowledge(3, sent_ms=LATER_MS, at_ms=LATER_MS + 800)
+    assert driver.is_leader(LATER_MS + 899)
+    assert not driver.is_leader(LATER_MS + 900)
+    effects = driver.handle(Propose((b"x",)), LATER_MS + 900)
+    assert ProposalRefused("a#1") in effects
+
+
+def test_leader_does_not_resume_after_a_transfer() -> None:
+    """Guards against two leases when the successor starts late."""
+    driver = Driver()
+    driver.lead()
+    driver.acknowledge(3)
+    effects = driver.handle(TransferLeadership())
+    assert any(
+        isinstance(e, Send) and isinstance(e.message, TimeoutNow)
+        for e in effects
+    )
+    driver.acknowledge(3, LATER_MS + 10, LATER_MS + 10)
+    assert not driver.is_leader(LATER_MS + 10)
+
+
+def test_stale_timeout_now_starts_no_election() -> None:
+    """Guards against a bypass of the lease of a later term's leader."""
+    driver = Driver()
+    assert driver.receive(TimeoutNow(header=header(term=1))) == []
+
+
+def test_proposals_keep_their_order() -> None:
+    """Guards against results that reach the wrong request."""
+    driver = Driver()
+    driver.lead()
+    driver.acknowledge(3)
+    effects = driver.handle(Propose((b"x", b"y")))
+    assert ProposalAccepted(4, 3) in effects
+    (persist,) = (e for e in effects if isinstance(e, Persist))
+    assert [e.payload for e in persist.entries] == [b"x", b"y"]
+
+
+def test_append_is_bounded() -> None:
+    """Guards against a frame over the transport's limit."""
+    driver = Driver()
+    driver.lead()
+    driver.acknowledge(3)
+    effects = driver.handle(Propose((bytes(100_000),) * 6))
+    sizes = [
+        sum(len(entry.payload) for entry in e.message.entries)
+        for e in effects
+        if isinstance(e, Send) and isinstance(e.message, AppendEntries)
+    ]
+    assert sizes == [200_000] * 3
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"group": "other"},
+        {"recipient": "a#2"},
+        {"sender": "b#2"},
+        {"sender": "d#1"},
+        {"formation": "other"},
+    ],
+)
+def test_foreign_message_is_dropped(changed: dict[str, str]) -> None:
+    """Guards against votes for or from identities that are gone."""
+    driver = Driver()
+    request = vote_request("b#1", 5)
+    foreign = msgspec.structs.replace(
+        request, header=msgspec.structs.replace(request.header, **changed)
+    )
+    assert driver.receive(foreign) == []
+    assert granted(driver.receive(request))
--- /dev/null
+++ b/testing/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routing decisions, in virtual time."""
--- /dev/null
+++ b/testing/routing/test_recorded_flow.py
@@ -0,0 +1,323 @@
+"""At most one run of non-idempotent requests."""
+
+import pytest
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import GroupUnavailableError
+from sardinespool.errors.requests import KeyReusedError
+from sardinespool.errors.requests import NoEndpointError
+from sardinespool.errors.requests import QueueFullError
+from sardinespool.messages.requests import AbandonRequest
+from sardinespool.messages.requests import BeginReply
+from sardinespool.messages.requests import FinishRequest
+from sardinespool.routing import request_effects as effects
+from sardinespool.routing import request_events as events
+from sardinespool.routing.key_source import KeySource
+from sardinespool.routing.keys import locate_key
+from sardinespool.routing.request_flow import RequestFlow
+from sardinespool.routing.retry_budget import RetryBudget
+from sardinespool.routing.router_events import SlotUse
+from testing.routing import builders as build
+
+GRANTED = BeginReply(state="granted")
+RUNNING = BeginReply(state="running")
+UNAVAILABLE = GroupUnavailableError("no leader")
+
+
+def make_flow(
+    own_key: str = "",
+    forwarded: bool = False,
+    keys: KeySource | None = None,
+    retries: bool = False,
+) -> RequestFlow:
+    budget = RetryBudget(0.0)
+    if not retries:
+        budget.take()
+    return RequestFlow(
+        build.plan(False, own_key, forwarded),
+        "e1",
+        budget,
+        keys or build.key_source(),
+    )
+
+
+def slot(number: int) -> events.SlotGiven:
+    return events.SlotGiven(number, f"w{number}", f"10.0.0.{number}:80", 8)
+
+
+def begun(flow: RequestFlow) -> effects.Begin:
+    """Bring a flow with a generated key to its begin."""
+    flow.handle(events.Started(True), build.at(0))
+    (begin,) = flow.handle(slot(1), build.at(0))
+    assert isinstance(begin, effects.Begin)
+    return begin
+
+
+def sending(flow: RequestFlow) -> effects.Send:
+    """Bring a flow with a generated key to its only send."""
+    begin = begun(flow)
+    (send,) = flow.handle(
+        events.BeginAnswered(begin.attempt, GRANTED), build.at(5)
+    )
+    assert isinstance(send, effects.Send)
+    return send
+
+
+def test_record_comes_first_and_answer_last() -> None:
+    """Guards against a send without a record, or an answer not stored."""
+    flow = make_flow()
+    assert flow.handle(events.Started(True), build.at(0)) == [
+        effects.WantSlot(1)
+    ]
+    (begin,) = flow.handle(slot(1), build.at(0))
+    assert isinstance(begin, effects.Begin)
+    assert begin.home == "centro"
+    assert begin.request.send_deadline_unix_ms == build.DEADLINE_MS
+    assert not flow.may_send_first_byte(build.at(1))
+    flow.handle(events.BeginAnswered(1, GRANTED), build.at(5))
+    assert flow.may_send_first_byte(build.at(5))
+    result = events.SendEnded(1, events.Answered(build.ANSWER))
+    returned, store, _ = flow.handle(result, build.at(15))
+    assert returned == effects.ReturnSlot(1, SlotUse.ANSWERED, 10.0)
+    assert isinstance(store, effects.StoreOutcome)
+    assert store.request == FinishRequest(
+        key=begin.request.key,
+        attempt_id=begin.request.attempt_id,
+        answer=build.ANSWER,
+    )
+    (reply,) = flow.handle(events.OutcomeStored(), build.at(20))
+    assert reply == effects.ReplyAnswered(build.ANSWER, begin.request.key)
+    assert flow.done
+
+
+@pytest.mark.parametrize(
+    ("event", "elapsed_ms"),
+    [(events.OutcomeNotStored(UNAVAILABLE), 100), (events.Woken(), 2_000)],
+)
+def test_answer_that_is_not_stored_is_unknown(
+    event: events.FlowEvent, elapsed_ms: int
+) -> None:
+    """Guards against an answer that a repeat would not get."""
+    flow = make_flow()
+    sending(flow)
+    flow.handle(
+        events.SendEnded(1, events.Answered(build.ANSWER)), build.at(15)
+    )
+    (reply,) = flow.handle(event, build.at(elapsed_ms))
+    assert isinstance(reply, effects.ReplyUnknown)
+    # The caller has its one ending; a later store changes nothing.
+    assert flow.handle(events.OutcomeStored(), build.at(2_100)) == []
+
+
+def test_lost_exchange_is_unknown_and_never_sent_again() -> None:
+    """Guards against a second run of a charge or a booking."""
+    flow = make_flow(retries=True)
+    sending(flow)
+    lost = events.SendEnded(1, events.Lost("cut"))
+    returned, reply, store = flow.handle(lost, build.at(10))
+    assert returned == effects.ReturnSlot(1, SlotUse.FAILED)
+    assert isinstance(reply, effects.ReplyUnknown)
+    assert isinstance(store, effects.StoreOutcome)
+    assert isinstance(store.request, FinishRequest)
+    assert store.request.answer is None
+    assert flow.handle(events.OutcomeStored(), build.at(20)) == []
+    assert flow.done
+
+
+def test_unsent_claim_moves_to_another_endpoint() -> None:
+    """Guards against a crashed endpoint that callers see until its lease."""
+    flow = make_flow()
+    send = sending(flow)
+    not_sent = events.SendEnded(1, events.NotSent("refused"))
+    returned, wanted = flow.handle(not_sent, build.at(10))
+    assert returned == effects.ReturnSlot(1, SlotUse.UNREACHABLE)
+    assert wanted == effects.WantSlot(2, frozenset({"w1"}))
+    assert not flow.may_send_first_byte(build.at(10))
+    (again,) = flow.handle(slot(2), build.at(10))
+    assert isinstance(again, effects.Send)
+    assert again.key == send.key
+    # Without another endpoint the claim is given back.
+    flow.handle(events.SendEnded(2, events.NotSent("refused")), build.at(10))
+    denied = events.SlotDenied(3, NoEndpointError("none"))
+    store, _ = flow.handle(denied, build.at(10))
+    assert isinstance(store, effects.StoreOutcome)
+    assert isinstance(store.request, AbandonRequest)
+    (reply,) = flow.handle(events.OutcomeStored(), build.at(20))
+    assert isinstance(reply, effects.ReplyNotRun)
+
+
+@pytest.mark.parametrize("retries", [False, True])
+def test_claim_is_given_back_when_nothing_ran(retries: bool) -> None:
+    """Guards against a key that stays claimed without a run."""
+    flow = make_flow(retries=retries)
+    send = sending(flow)
+    refused = events.SendEnded(1, events.Answered(build.ANSWER, not_run=True))
+    _, store, _ = flow.handle(refused, build.at(10))
+    assert isinstance(store, effects.StoreOutcome)
+    assert isinstance(store.request, AbandonRequest)
+    assert not flow.may_send_first_byte(build.at(10))
+    (after,) = flow.handle(events.OutcomeStored(), build.at(20))
+    if not retries:
+        assert isinstance(after, effects.ReplyNotRun)
+        return
+    # The same key runs again under a new attempt, on another endpoint.
+    assert after == effects.WantSlot(2, frozenset({"w1"}))
+    (begin,) = flow.handle(slot(2), build.at(20))
+    assert isinstance(begin, effects.Begin)
+    assert begin.request.key == send.key
+    assert begin.request.attempt_id != store.request.attempt_id
+
+
+def test_grant_after_a_freeze_is_not_used() -> None:
+    """Guards against a send after the deadline of the record."""
+    flow = make_flow()
+    begun(flow)
+    late = events.BeginAnswered(1, GRANTED)
+    returned, store, _ = flow.handle(late, build.at(2_000))
+    assert returned == effects.ReturnSlot(1, SlotUse.UNUSED)
+    assert isinstance(store, effects.StoreOutcome)
+    assert isinstance(store.request, AbandonRequest)
+    frozen = make_flow()
+    sending(frozen)
+    assert not frozen.may_send_first_byte(build.at(2_000))
+    frozen.handle(events.SendEnded(1, events.NotSent("late")), build.at(2_000))
+    (reply,) = frozen.handle(events.OutcomeStored(), build.at(2_010))
+    assert isinstance(reply, effects.ReplyNotRun)
+    assert reply.error.code == "deadline-unreachable"
+
+
+@pytest.mark.parametrize(
+    ("reply", "ending"),
+    [
+        (
+            BeginReply(state="finished", answer=build.ANSWER),
+            effects.ReplyAnswered(build.ANSWER, "order-7"),
+        ),
+        (BeginReply(state="unknown"), None),
+        (BeginReply(state="finished"), None),
+    ],
+)
+def test_repeat_gets_the_first_outcome(
+    reply: BeginReply, ending: effects.FlowReply | None
+) -> None:
+    """Guards against a repeat that runs, or that needs a free slot."""
+    flow = make_flow("order-7")
+    (begin,) = flow.handle(events.Started(True), build.at(0))
+    assert isinstance(begin, effects.Begin)
+    assert begin.home == locate_key("order-7", build.DOMAINS).failure_domain
+    (ended,) = flow.handle(events.BeginAnswered(1, reply), build.at(5))
+    if ending is None:
+        assert isinstance(ended, effects.ReplyUnknown)
+    else:
+        assert ended == ending
+
+
+def test_repeat_waits_for_the_running_one_until_its_deadline() -> None:
+    """Guards against "not run" while the first attempt still runs."""
+    flow = make_flow("order-7")
+    (begin,) = flow.handle(events.Started(True), build.at(0))
+    now_ms = 0
+    attempts = set()
+    while isinstance(begin, effects.Begin):
+        attempts.add(begin.request.attempt_id)
+        running = events.BeginAnswered(begin.attempt, RUNNING)
+        (wake,) = flow.handle(running, build.at(now_ms))
+        assert isinstance(wake, effects.Wake)
+        now_ms = wake.unix_ms - build.at(0).unix_ms
+        assert now_ms <= 2_000
+        (begin,) = flow.handle(events.Woken(), build.at(now_ms))
+    assert isinstance(begin, effects.ReplyUnknown)
+    assert now_ms == 2_000
+    assert 5 < len(attempts) < 15
+
+
+def test_repeat_runs_when_the_first_gave_up() -> None:
+    """Guards against a repeat that never runs after an abandonment."""
+    flow = make_flow("order-7")
+    flow.handle(events.Started(True), build.at(0))
+    flow.handle(events.BeginAnswered(1, RUNNING), build.at(0))
+    flow.handle(events.Woken(), build.at(25))
+    (wanted,) = flow.handle(events.BeginAnswered(2, GRANTED), build.at(30))
+    assert wanted == effects.WantSlot(1)
+    (send,) = flow.handle(slot(1), build.at(30))
+    assert isinstance(send, effects.Send)
+
+
+def test_claim_without_slot_is_given_back() -> None:
+    """Guards against a refusal by admission that blocks the key."""
+    flow = make_flow("order-7")
+    flow.handle(events.Started(True), build.at(0))
+    flow.handle(events.BeginAnswered(1, GRANTED), build.at(5))
+    store, _ = flow.handle(
+        events.SlotDenied(1, QueueFullError("full")), build.at(5)
+    )
+    assert isinstance(store, effects.StoreOutcome)
+    assert isinstance(store.request, AbandonRequest)
+    (reply,) = flow.handle(events.OutcomeNotStored(UNAVAILABLE), build.at(10))
+    assert isinstance(reply, effects.ReplyNotRun)
+    assert reply.error.code == "queue-full"
+
+
+def test_generated_key_moves_to_another_home() -> None:
+    """Guards against refusals while only the own group is lost."""
+    flow = make_flow()
+    first = begun(flow)
+    # Two thirds of the time are left for the other homes.
+    assert first.deadline_unix_ms < build.DEADLINE_MS - 1_000
+    (second,) = flow.handle(events.BeginFailed(1, UNAVAILABLE), build.at(700))
+    assert isinstance(second, effects.Begin)
+    assert second.home != "centro"
+    assert second.request.key != first.request.key
+    # An answer for the first key comes too late to be used.
+    assert flow.handle(events.BeginAnswered(1, GRANTED), build.at(710)) == []
+    (send,) = flow.handle(events.BeginAnswered(2, GRANTED), build.at(720))
+    assert isinstance(send, effects.Send)
+    assert send.key == second.request.key
+
+
+@pytest.mark.parametrize(
+    ("error", "abandoned"),
+    [(UNAVAILABLE, True), (KeyReusedError("other body"), False)],
+)
+def test_begin_of_own_key_that_fails_is_not_run(
+    error: SardinespoolError, abandoned: bool
+) -> None:
+    """Guards against a caller who waits for a lost group, or a stuck key."""
+    flow = make_flow("order-7")
+    flow.handle(events.Started(True), build.at(0))
+    reply, *rest = flow.handle(events.BeginFailed(1, error), build.at(100))
+    assert isinstance(reply, effects.ReplyNotRun)
+    assert reply.error is error
+    assert bool(rest) == abandoned
+    assert flow.done != abandoned
+
+
+@pytest.mark.parametrize("own_key", ["", "order-7"])
+def test_forward_happens_before_the_begin(own_key: str) -> None:
+    """Guards against two entries that begin the same request."""
+    flow = make_flow(own_key)
+    (forward,) = flow.handle(events.Started(False), build.at(0))
+    assert isinstance(forward, effects.Forward)
+    assert (forward.key == own_key) if own_key else forward.key
+    lost = events.ForwardEnded(events.Lost("cut"))
+    (reply,) = flow.handle(lost, build.at(10))
+    assert isinstance(reply, effects.ReplyUnknown)
+    assert reply.key == forward.key
+    begun_flow = make_flow()
+    sending(begun_flow)
+    not_run = events.Answered(build.ANSWER, not_run=True)
+    begun_flow.handle(events.SendEnded(1, not_run), build.at(10))
+    (ended,) = begun_flow.handle(events.OutcomeStored(), build.at(10))
+    assert isinstance(ended, effects.ReplyNotRun)
+
+
+@pytest.mark.parametrize("forwarded", [False, True])
+def test_last_endpoint_leaves_while_waiting(forwarded: bool) -> None:
+    """Guards against a queue that waits for a domain without endpoints."""
+    flow = make_flow(forwarded=forwarded)
+    flow.handle(events.Started(True), build.at(0))
+    (after,) = flow.handle(
+        events.SlotDenied(1, NoEndpointError("none")), build.at(5)
+    )
+    expected = effects.ReplyNotRun if forwarded else effects.Forward
+    assert isinstance(after, expected)
--- /dev/null
+++ b/testing/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings files."""
--- /dev/null
+++ b/testing/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the files under the data folder."""
