Guard the entry's state dump and register every error class

Cause: callers reach the entry's listener, and the dump shows the whole endpoint table. An error of a module that was not imported arrived from a group as the base class with status 500.

--- a/demo/steps_end.py
+++ b/demo/steps_end.py
@@ -20,9 +20,10 @@
     """Check that each program answers its state, without tokens."""
     secrets = [*demo.plan.tokens.values(), demo.plan.cluster_token]
     sizes: dict[str, int] = {}
+    headers = {"Authorization": f"Bearer {demo.plan.tokens['operator-1']}"}
     for program in ("store", "entry", "scheduler"):
         for process in demo.plan.of(program):
-            answer = fetch(process.address, "/dump")
+            answer = fetch(process.address, "/dump", headers=headers)
             state = answer.json()
             check(
                 answer.status == 200
--- a/src/sardinespool/errors/requests.py
+++ b/src/sardinespool/errors/requests.py
@@ -21,6 +21,18 @@
     http_status = 413
 
 
+class PathNotFoundError(RequestError):
+    """The entry serves nothing at this path."""
+
+    http_status = 404
+
+
+class MethodNotAllowedError(RequestError):
+    """The path does not take this method."""
+
+    http_status = 405
+
+
 class ServiceNotFoundError(RequestError):
     """The configuration in force has no such service."""
 
--- a/src/sardinespool/programs/command_line/client.py
+++ b/src/sardinespool/programs/command_line/client.py
@@ -1,6 +1,5 @@
 """Synchronous client of the entries' operator interface."""
 
-import importlib
 import urllib.parse
 from typing import Any
 
@@ -21,18 +20,6 @@
 RETRIED_CODES = ("not-ready", "group-unavailable", "not-leader")
 
 
-# A code is known once the module of its class is imported.
-for _name in (
-    "configuration",
-    "replication",
-    "requests",
-    "storage",
-    "tasks",
-    "transport",
-):
-    importlib.import_module(f"sardinespool.errors.{_name}")
-
-
 class EntryUnreachableError(TransportError):
     """No entry of the settings answered."""
 
--- a/src/sardinespool/programs/entry/caller_request.py
+++ b/src/sardinespool/programs/entry/caller_request.py
@@ -6,8 +6,8 @@
 
 from sardinespool.clock import Instant
 from sardinespool.errors.requests import InvalidRequestError
+from sardinespool.errors.requests import PathNotFoundError
 from sardinespool.programs.entry import headers as names
-from sardinespool.programs.entry.path_errors import PathNotFoundError
 from sardinespool.routing.keys import is_valid_key
 from sardinespool.transport.http_messages import HttpRequest
 
--- a/src/sardinespool/programs/entry/entry_process.py
+++ b/src/sardinespool/programs/entry/entry_process.py
@@ -125,8 +125,8 @@
     """
     parts.listener.close_after_answers()
     await parts.callers.drain()
-    parts.listener.stop_accepting()
-    await parts.listener.drain()
+    await parts.listener.linger()
+    await parts.listener.stop()
     # A report after the last one would ask for grants again.
     syncing.cancel()
     await asyncio.wait([syncing])
--- a/src/sardinespool/programs/entry/groups.py
+++ b/src/sardinespool/programs/entry/groups.py
@@ -4,10 +4,6 @@
 from typing import Protocol
 from typing import TypeVar
 
-from sardinespool.errors import configuration as configuration_errors
-from sardinespool.errors import replication as replication_errors
-from sardinespool.errors import requests as request_errors
-from sardinespool.errors import tasks as task_errors
 from sardinespool.errors.tasks import NoFailureDomainError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.codec import Reply
@@ -15,15 +11,6 @@
 
 GLOBAL_GROUP = "global"
 
-# An error that a group reports keeps its class only if the module of the
-# class was imported.
-REPORTED_ERRORS = (
-    configuration_errors,
-    replication_errors,
-    request_errors,
-    task_errors,
-)
-
 R = TypeVar("R")
 
 
--- a/src/sardinespool/programs/entry/http_routes.py
+++ b/src/sardinespool/programs/entry/http_routes.py
@@ -5,7 +5,9 @@
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.requests import BodyTooLargeError
+from sardinespool.errors.requests import MethodNotAllowedError
 from sardinespool.errors.requests import OutcomeUnknownError
+from sardinespool.errors.requests import PathNotFoundError
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import CONTENT_TYPE
 from sardinespool.observability.metrics import Metrics
@@ -15,12 +17,11 @@
 from sardinespool.programs.entry.answers import OUTCOME_HEADER
 from sardinespool.programs.entry.answers import outcome_of
 from sardinespool.programs.entry.caller_handler import CallerHandler
+from sardinespool.programs.entry.credentials import Credentials
 from sardinespool.programs.entry.entry_state import EntryState
 from sardinespool.programs.entry.headers import SERVICES_PATH
 from sardinespool.programs.entry.operator_handler import OPERATOR_PATH
 from sardinespool.programs.entry.operator_handler import OperatorHandler
-from sardinespool.programs.entry.path_errors import MethodNotAllowedError
-from sardinespool.programs.entry.path_errors import PathNotFoundError
 from sardinespool.programs.entry.worker_handler import WorkerHandler
 from sardinespool.transport.http_messages import HttpAnswer
 from sardinespool.transport.http_messages import HttpRequest
@@ -42,6 +43,9 @@
         Readiness.
     metrics : Metrics
         Registry for ``/metrics``.
+    credentials : Credentials
+        ``/dump`` needs the role of an operator or approver, since callers
+        reach this listener too.
     dump : callable
         Returns the entry's state.
     """
@@ -53,6 +57,7 @@
         operators: OperatorHandler,
         state: EntryState,
         metrics: Metrics,
+        credentials: Credentials,
         dump: Callable[[], Any],
     ) -> None:
         self._callers = callers
@@ -60,6 +65,7 @@
         self._operators = operators
         self._state = state
         self._metrics = metrics
+        self._credentials = credentials
         self._dump = dump
 
     async def handle(self, received: ReceivedRequest) -> HttpAnswer:
@@ -106,6 +112,7 @@
                 )
             case "/metrics":
                 return _body(CONTENT_TYPE, self._metrics.render())
+        self._credentials.require(request, "operator", "approver")
         return _body("application/json", dump_json(self._dump()))
 
 
--- a/src/sardinespool/programs/entry/operator_handler.py
+++ b/src/sardinespool/programs/entry/operator_handler.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from sardinespool.errors.requests import MethodNotAllowedError
+from sardinespool.errors.requests import PathNotFoundError
 from sardinespool.programs.entry import operator_configuration as patches
 from sardinespool.programs.entry import operator_work as work
 from sardinespool.programs.entry.answers import json_answer
@@ -13,8 +15,6 @@
 from sardinespool.programs.entry.operator_bodies import read_query
 from sardinespool.programs.entry.operator_call import OperatorCall
 from sardinespool.programs.entry.operator_call import OperatorParts
-from sardinespool.programs.entry.path_errors import MethodNotAllowedError
-from sardinespool.programs.entry.path_errors import PathNotFoundError
 from sardinespool.transport.http_messages import HttpAnswer
 from sardinespool.transport.http_messages import HttpRequest
 
--- a/src/sardinespool/programs/entry/wiring.py
+++ b/src/sardinespool/programs/entry/wiring.py
@@ -121,6 +121,7 @@
         OperatorHandler(operator_parts, credentials),
         state,
         metrics,
+        credentials,
         dump,
     )
     listener = HttpListener(
--- a/src/sardinespool/transport/http_server.py
+++ b/src/sardinespool/transport/http_server.py
@@ -110,31 +110,30 @@
     def close_after_answers(self) -> None:
         """Close each connection with its next answer from now on."""
         self._closing = True
+        self._server.conn_params.no_keep_alive = True
 
-    def stop_accepting(self) -> None:
-        """Accept no further connections.
-
-        Requests on open connections are still answered.
-        """
-        self._closing = True
-        self._server.stop()
-
-    async def drain(self, linger_s: float = LINGER_S) -> None:
-        """Finish the requests in progress, then close all connections.
+    async def linger(self, limit_s: float = LINGER_S) -> None:
+        """Wait until the clients have closed their connections.
 
         Parameters
         ----------
-        linger_s : float
-            Time for requests that are on their way on idle connections; they
-            get an answer instead of a cut connection.
+        limit_s : float
+            Longest wait. Requests that are on their way on idle connections
+            get an answer in it instead of a cut connection.
         """
-        while self._in_progress:
-            await asyncio.wait(self._in_progress)
         try:
-            async with asyncio.timeout(linger_s):
+            async with asyncio.timeout(limit_s):
                 await self._server.wait_for_close()
         except TimeoutError:
             pass
+
+    async def stop(self) -> None:
+        """Accept no further connections and close all.
+
+        Requests in progress are answered first.
+        """
+        self.close_after_answers()
+        self._server.stop()
         while self._in_progress:
             await asyncio.wait(self._in_progress)
         await self._server.close_all_connections()
@@ -165,6 +164,7 @@
         if not without_body and not (head and "Content-Length" in headers):
             headers["Content-Length"] = str(len(answer.body))
         if self._closing:
+            # The request may have come before the listener was closing.
             headers["Connection"] = "close"
         line = httputil.ResponseStartLine(
             "HTTP/1.1",
@@ -180,6 +180,8 @@
             flushed = connection.stream.write(b"")
             connection.finish()
             await flushed
+            if self._closing:
+                connection.close()
         except OSError:
             # The caller has gone; the request itself has ended.
             return
--- a/testing/entry/test_http_server.py
+++ b/testing/entry/test_http_server.py
@@ -38,8 +38,7 @@
     listener = HttpListener(address, handler, ServerLimits(LIMIT_BYTES))
     listener.start()
     yield listener, address
-    listener.stop_accepting()
-    await listener.drain(0)
+    await listener.stop()
 
 
 async def echo(received: ReceivedRequest) -> HttpAnswer:
@@ -99,16 +98,16 @@
         reader, writer = await connect(address)
         writer.write(b"GET /slow HTTP/1.1\r\n\r\n")
         await arrived.wait()
-        listener.stop_accepting()
+        stopped = asyncio.create_task(listener.stop())
+        await asyncio.sleep(0)
         with pytest.raises(ConnectionError):
             await connect(address)
-        drained = asyncio.create_task(listener.drain(0))
         go_on.set()
         answer = await reader.read()
         assert answer.endswith(b"whole answer")
         assert b"Connection: close" in answer
         assert await idle_reader.read() == b""
-        await drained
+        await stopped
         for each in (writer, idle_writer):
             each.close()
 
@@ -120,13 +119,14 @@
         reader, writer = await connect(address)
         writer.write(b"GET /a HTTP/1.1\r\n\r\n")
         await reader.readuntil(b"\r\n\r\n")
-        listener.stop_accepting()
-        drained = asyncio.create_task(listener.drain(60))
+        listener.close_after_answers()
+        lingered = asyncio.create_task(listener.linger(3_600))
         writer.write(b"GET /b HTTP/1.1\r\n\r\n")
         answer = await reader.read()
         assert answer.startswith(b"HTTP/1.1 200 OK")
+        assert b"Connection: close" in answer
         # The last connection has ended, so nothing is waited for.
-        await drained
+        await lingered
         writer.close()
 
 
@@ -147,8 +147,7 @@
         await arrived.wait()
         writer.transport.abort()
         go_on.set()
-        listener.stop_accepting()
-        await listener.drain(0)
+        await listener.stop()
         assert listener.in_progress == 0
 
 
--- a/testing/entry/test_operators.py
+++ b/testing/entry/test_operators.py
@@ -183,14 +183,17 @@
 
 @in_loop
 async def test_status_routes() -> None:
-    """Guards against a dump with secrets or a probe that needs a token."""
+    """Guards against a dump for callers or a probe that needs a token."""
     async with running_entry(["127.0.0.1:9"]) as entry:
-        for path in ("/health", "/ready", "/metrics", "/dump"):
+        for path in ("/health", "/ready", "/metrics"):
             answer = await entry.fetch("GET", path, token="")
             assert answer.status == 200
+        for token, status in (("", 401), ("caller", 403)):
+            answer = await entry.fetch("GET", "/dump", token=token)
+            assert answer.status == status
         metrics = (await entry.fetch("GET", "/metrics")).body
         assert b"sardinespool_entry_configuration_version" in metrics
-        dump = (await entry.fetch("GET", "/dump")).json()
+        dump = (await entry.fetch("GET", "/dump", token="operator")).json()
         assert dump["configuration_version"] == 3
         assert dump["endpoints"]["w0"]["usable_slots"] == 4
         listed = await entry.fetch(
