--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -39,6 +39,7 @@
 from sardinespool.replication.entries import EntryKind
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.replica import Replica
+from sardinespool.replication.state import Snapshot
 from sardinespool.replication.status import ReplicaStatus
 from sardinespool.storage.group_store import GroupStore
 
@@ -75,6 +76,8 @@
         Returns the present instant.
     metrics : StoreMetrics
         Metrics of the process.
+    snapshot : Snapshot, optional
+        Snapshot that the replica starts from.
     snapshot_every_entries : int
         Applied entries between two snapshots.
     reformed : bool
@@ -91,6 +94,7 @@
         send: Callable[[str, PeerMessage], None],
         clock: Callable[[], Instant],
         metrics: StoreMetrics,
+        snapshot: Snapshot | None,
         snapshot_every_entries: int,
         reformed: bool,
     ) -> None:
@@ -116,6 +120,8 @@
         self._applied_index = 0
         self._entries_since_snapshot = 0
         self._service_tick_deadline_boot_ms = 0
+        if snapshot is not None:
+            self._restore(snapshot.index, snapshot.data)
 
     @property
     def status(self) -> ReplicaStatus:
@@ -139,7 +145,11 @@
             asyncio.get_running_loop().create_future()
         )
         await self._queue.put(CallReceived(request, reply))
-        return await reply
+        result = await reply
+        # The process can have been frozen since the reply was made.
+        if not self.serving:
+            raise self._not_leader()
+        return result
 
     def deliver(self, sender: str, message: PeerMessage) -> None:
         """Take a replication message; drop it if too many wait."""
@@ -196,7 +206,11 @@
                     ),
                     now,
                 )
+        # Committed entries are applied before any call is served: the
+        # replica counts as leader once it has handed them out.
+        self._execute(effects)
         self._update_serving(now)
+        effects = []
         bodies: list[tuple[CommandBody, Waiter]] = []
         for event in batch:
             match event:
@@ -346,13 +360,18 @@
                     for entry in entries:
                         self._apply(entry)
                 case replica_effects.InstallSnapshot(index=index, data=data):
-                    self._machine.restore(data)
-                    self._applied_index = index
-                    self._entries_since_snapshot = 0
-                    self._formed = self._is_formed()
+                    self._pending.fail_all()
+                    self._internal_pending = 0
+                    self._restore(index, data)
                 case replica_effects.LeadershipChanged():
                     self._on_leadership_change(effect)
 
+    def _restore(self, index: int, data: bytes) -> None:
+        self._machine.restore(data)
+        self._applied_index = index
+        self._entries_since_snapshot = 0
+        self._formed = self._is_formed()
+
     def _on_leadership_change(
         self, effect: replica_effects.LeadershipChanged
     ) -> None:
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -209,6 +209,7 @@
             send,
             system_clock.now,
             self._store_metrics,
+            state.snapshot,
             timing.snapshot_every_entries,
             self._settings.reformed,
         )
--- a/src/sardinespool/storage/files.py
+++ b/src/sardinespool/storage/files.py
@@ -3,6 +3,8 @@
 import os
 import pathlib
 
+TEMPORARY_SUFFIX = ".tmp"
+
 
 def sync_folder(folder: pathlib.Path) -> None:
     """Make created, renamed and removed names of a folder durable."""
@@ -13,6 +15,17 @@
         os.close(descriptor)
 
 
+def make_folder(folder: pathlib.Path) -> None:
+    """Create a folder and its parents durably.
+
+    A folder that vanished in a crash would be taken for a lost disk.
+    """
+    if not folder.exists():
+        make_folder(folder.parent)
+        folder.mkdir(exist_ok=True)
+        sync_folder(folder.parent)
+
+
 def write_all(descriptor: int, data: bytes) -> None:
     """Write all bytes; a single write may be partial."""
     view = memoryview(data)
@@ -36,6 +49,3 @@
         os.close(descriptor)
     os.rename(temporary, path)
     sync_folder(path.parent)
-
-
-TEMPORARY_SUFFIX = ".tmp"
--- a/src/sardinespool/storage/folder_lock.py
+++ b/src/sardinespool/storage/folder_lock.py
@@ -5,6 +5,7 @@
 import pathlib
 
 from sardinespool.errors.storage import DataFolderError
+from sardinespool.storage.files import make_folder
 
 
 class FolderLock:
@@ -12,7 +13,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         try:
-            folder.mkdir(parents=True, exist_ok=True)
+            make_folder(folder)
             self._descriptor = os.open(
                 folder / "lock", os.O_RDWR | os.O_CREAT, 0o644
             )
--- a/testing/replication/cluster.py
+++ b/testing/replication/cluster.py
@@ -4,7 +4,6 @@
 """
 
 import dataclasses
-import hashlib
 import heapq
 import random
 
@@ -17,6 +16,7 @@
 from sardinespool.replication.effects import PersistSnapshot
 from sardinespool.replication.effects import Send
 from sardinespool.replication.entries import Entry
+from sardinespool.replication.entries import EntryKind
 from sardinespool.replication.events import Event
 from sardinespool.replication.events import PeerMessageReceived
 from sardinespool.replication.events import Propose
@@ -25,11 +25,9 @@
 from sardinespool.replication.messages import decode_peer_message
 from sardinespool.replication.messages import encode_peer_message
 from sardinespool.replication.messages import PeerMessage
-from sardinespool.replication.messages import VoteReply
-from sardinespool.replication.messages import VoteRequest
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.settings import ReplicaSettings
-from sardinespool.replication.state import Snapshot
+from testing.replication.history import History
 from testing.replication.memory_disk import MemoryDisk
 
 STEP_MS = 10
@@ -70,9 +68,7 @@
         self.network = Network()
         self.names = [chr(ord("a") + i) for i in range(size)]
         self.nodes: dict[str, Node] = {}
-        self.committed: dict[int, Entry] = {}
-        self.digests: dict[int, bytes] = {0: b""}
-        self._votes: dict[tuple[str, int], str] = {}
+        self.history = History()
         self._queue: list[tuple[int, int, str, str, bytes]] = []
         self._sent = 0
         self._incarnations = 0
@@ -83,6 +79,10 @@
             )
             self.start(name)
 
+    @property
+    def committed(self) -> dict[int, Entry]:
+        return self.history.committed
+
     def now(self, node: Node) -> Instant:
         return Instant(self.now_ms + node.boot_offset_ms, self.now_ms)
 
@@ -157,14 +157,14 @@
         for effect in effects:
             match effect:
                 case Send(to, message):
-                    self._record_vote(message)
+                    self.history.record_vote(message)
                     self._send(node.name, to, message)
                 case Apply(entries):
                     self._apply(node, entries)
                 case InstallSnapshot(index, data):
                     self._restore(node, index, data)
                 case LeadershipChanged(is_leader=True):
-                    self._check_leader_is_complete(node)
+                    self.history.check_complete(node.disk)
                 case _:
                     pass
         return effects
@@ -225,8 +225,17 @@
                 self.propose((marker,))
 
     def check(self) -> None:
-        """At most one lease; equal logs up to an equal index and term."""
-        assert len(self.leaders()) <= 1, "two leaders hold a lease"
+        """At most one lease, one pending change, and equal logs."""
+        leaders = self.leaders()
+        assert len(leaders) <= 1, "two leaders hold a lease"
+        for leader in leaders:
+            pending = [
+                entry
+                for entry in leader.disk.entries.values()
+                if entry.kind is EntryKind.CONFIGURATION
+                and entry.index > leader.applied
+            ]
+            assert len(pending) <= 1, "two membership changes at once"
         if self.random.random() < 0.05:
             self.check_logs()
 
@@ -247,39 +256,15 @@
     def _apply(self, node: Node, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             assert entry.index == node.applied + 1
-            known = self.committed.setdefault(entry.index, entry)
-            assert known == entry, "a committed entry is different"
             node.applied = entry.index
-            node.digest = hashlib.sha256(
-                node.digest + repr(entry).encode()
-            ).digest()
-            known_digest = self.digests.setdefault(entry.index, node.digest)
-            assert known_digest == node.digest
+            node.digest = self.history.apply(entry, node.digest)
 
     def _restore(self, node: Node, index: int, data: bytes) -> None:
         digest = data[:-SNAPSHOT_PADDING_BYTES]
-        assert self.digests[index] == digest
+        assert self.history.digests[index] == digest
         node.applied = index
         node.digest = digest
 
-    def _check_leader_is_complete(self, node: Node) -> None:
-        disk = node.disk
-        base = disk.snapshot or Snapshot(0, 0, None, b"")  # type: ignore
-        for index, entry in self.committed.items():
-            if index > base.index:
-                assert disk.entries.get(index) == entry, "an entry is lost"
-
-    def _record_vote(self, message: PeerMessage) -> None:
-        match message:
-            case VoteRequest(header=header):
-                vote = header.sender
-            case VoteReply(header=header, granted=True):
-                vote = header.recipient
-            case _:
-                return
-        key = (header.sender, header.term)
-        assert self._votes.setdefault(key, vote) == vote, "voted twice"
-
     def _send(self, sender: str, to: str, message: PeerMessage) -> None:
         network = self.network
         if (sender, to) in network.cuts:
--- a/testing/replication/test_rules.py
+++ b/testing/replication/test_rules.py
@@ -23,6 +23,7 @@
 from sardinespool.replication.messages import AppendEntries
 from sardinespool.replication.messages import AppendReply
 from sardinespool.replication.messages import Header
+from sardinespool.replication.messages import JoinReply
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.messages import PreVoteReply
 from sardinespool.replication.messages import TimeoutNow
@@ -229,3 +230,28 @@
     )
     assert driver.receive(foreign) == []
     assert granted(driver.receive(request))
+
+
+@pytest.mark.parametrize(
+    ("answers", "formed"),
+    [
+        ((("b#1", ()), ("c#1", ())), True),
+        # b learned of a group with an earlier identity of a.
+        ((("b#1", ()), ("b#1", ("a#0", "b#1", "c#1")), ("c#1", ())), False),
+        ((("b#1", ()),), False),
+    ],
+)
+def test_formation_needs_every_peer(
+    answers: tuple[tuple[str, tuple[str, ...]], ...], formed: bool
+) -> None:
+    """Guards against a second group beside an existing one."""
+    driver = Driver(PersistedState(HardState("1")))
+    for sender, initial_members in answers:
+        answer = header(sender, term=0)
+        reply = JoinReply(
+            header=msgspec.structs.replace(answer, formation=""),
+            bootstrap=True,
+            initial_members=initial_members,
+        )
+        driver.receive(reply)
+    assert driver.replica.status().formed is formed
--- /dev/null
+++ b/testing/storage/test_with_replicas.py
@@ -0,0 +1,60 @@
+"""A group in memory whose members also write real folders."""
+
+import pathlib
+from collections.abc import Iterable
+
+import pytest
+
+from sardinespool.replication.effects import Persist
+from sardinespool.replication.effects import PersistSnapshot
+from sardinespool.replication.state import PersistedState
+from sardinespool.storage.group_store import GroupStore
+from testing.replication.cluster import Cluster
+from testing.replication.memory_disk import MemoryDisk
+from testing.replication.test_faults import Faults
+
+
+class FolderDisk(MemoryDisk):
+    """Compares what a folder holds after a crash with the memory."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._store = GroupStore(folder)
+        super().__init__(self._store.load().hard_state.incarnation)
+
+    def persist(self, effects: Iterable[Persist | PersistSnapshot]) -> None:
+        batch = list(effects)
+        super().persist(batch)
+        if batch:
+            self._store.persist(batch)
+
+    def state(self) -> PersistedState:
+        self._store.close()
+        self._store = GroupStore(self._folder)
+        state = self._store.load()
+        assert state == super().state()
+        return state
+
+
+class FolderCluster(Cluster):
+    """Cluster with one folder for each incarnation."""
+
+    def __init__(self, size: int, seed: int, folder: pathlib.Path) -> None:
+        self._folder = folder
+        super().__init__(size, seed)
+
+    def _new_disk(self) -> MemoryDisk:
+        self._incarnations += 1
+        return FolderDisk(self._folder / str(self._incarnations))
+
+
+@pytest.mark.parametrize(("size", "seed"), [(1, 1), (2, 1), (3, 1), (3, 2)])
+def test_folder_equals_memory(
+    tmp_path: pathlib.Path, size: int, seed: int
+) -> None:
+    """Guards against a batch that a folder and a replica see differently."""
+    cluster = FolderCluster(size, seed, tmp_path)
+    cluster.settle(10_000)
+    Faults(cluster).run(10_000)
+    cluster.heal()
+    cluster.settle(60_000)
--- /dev/null
+++ b/testing/store/test_group_runner.py
@@ -0,0 +1,158 @@
+"""The task that owns a group, with real files and a virtual clock."""
+
+import asyncio
+import pathlib
+from typing import Any
+
+import pytest
+
+from sardinespool.clock import Instant
+from sardinespool.errors.replication import NotLeaderError
+from sardinespool.groups.contract import Answer
+from sardinespool.groups.global_machine import GlobalMachine
+from sardinespool.groups.global_service import GlobalService
+from sardinespool.messages.configuration import ApprovePatch
+from sardinespool.messages.configuration import Change
+from sardinespool.messages.configuration import ReadConfiguration
+from sardinespool.messages.configuration import SubmitPatch
+from sardinespool.observability.metrics import Metrics
+from sardinespool.programs.store.group_runner import GroupRunner
+from sardinespool.programs.store.store_metrics import StoreMetrics
+from sardinespool.replication.replica import Replica
+from sardinespool.replication.settings import ReplicaSettings
+from sardinespool.storage.group_store import GroupStore
+
+SNAPSHOT_EVERY = 20
+
+
+class Clock:
+    """Virtual clock; each reading advances it by 20 ms."""
+
+    def __init__(self) -> None:
+        self.instant = Instant(0, 1_000_000_000)
+        self.step_ms = 20
+
+    def __call__(self) -> Instant:
+        """Return the next instant."""
+        self.instant = self.instant.after(self.step_ms)
+        return self.instant
+
+
+class LapsingReplica(Replica):
+    """Replica whose lease ends at a set time, as with other members."""
+
+    lease_deadline_boot_ms = 2**60
+
+    def is_leader(self, now: Instant) -> bool:
+        """Return whether the lease is valid."""
+        lapsed = now.boot_ms >= self.lease_deadline_boot_ms
+        return super().is_leader(now) and not lapsed
+
+
+class Member:
+    """One store process with a group of one member."""
+
+    def __init__(self, folder: pathlib.Path, clock: Clock) -> None:
+        self.machine = GlobalMachine()
+        store = GroupStore(folder)
+        state = store.load()
+        self.replica = LapsingReplica(
+            ReplicaSettings(group="global", name="a", bootstrap=True),
+            state,
+            1,
+            clock(),
+        )
+        self.runner = GroupRunner(
+            "global",
+            self.replica,
+            store,
+            self.machine,
+            GlobalService(self.machine),
+            lambda to, message: None,
+            clock,
+            StoreMetrics(Metrics("store", "a")),
+            state.snapshot,
+            SNAPSHOT_EVERY,
+            False,
+        )
+
+    async def __aenter__(self) -> "Member":
+        """Start the runner."""
+        self.task = asyncio.create_task(self.runner.run())
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Stop it as a kill would: without a hand-over."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def call(self, request: Any) -> Any:
+        """Call the group until it serves."""
+        while True:
+            try:
+                return await self.runner.call(request)
+            except NotLeaderError:
+                await asyncio.sleep(0)
+
+
+async def make_version(member: Member, version: int) -> None:
+    receipt = await member.call(
+        SubmitPatch(
+            patch_id=f"p{version}",
+            base_version=version,
+            changes=(Change(op="set", key="limits/a", value=version),),
+            author="ana",
+        )
+    )
+    await member.call(
+        ApprovePatch(
+            patch_id=receipt.patch_id,
+            digest=receipt.digest,
+            approver="luz",
+        )
+    )
+
+
+@pytest.mark.parametrize("versions", [1, 9, 10, 11, 40])
+def test_restart_keeps_every_version(
+    tmp_path: pathlib.Path, versions: int
+) -> None:
+    """Guards against a restart that forgets what a snapshot holds."""
+
+    async def run() -> None:
+        clock = Clock()
+        async with Member(tmp_path, clock) as member:
+            for version in range(versions):
+                await make_version(member, version)
+        async with Member(tmp_path, clock) as member:
+            configuration = await member.call(ReadConfiguration())
+            assert configuration.version == versions
+            await make_version(member, versions)
+            assert member.machine.history.configuration.version == versions + 1
+
+    asyncio.run(run())
+
+
+def test_frozen_leader_does_not_answer(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a reply that was made before a freeze."""
+
+    async def run() -> None:
+        clock = Clock()
+        async with Member(tmp_path, clock) as member:
+            await make_version(member, 0)
+            handled = member.runner.call(ReadConfiguration())
+            clock.step_ms = 0
+            answer = member.machine.history.configuration
+
+            def freeze(*arguments: object) -> Answer:
+                deadline_boot_ms = clock.instant.boot_ms
+                member.replica.lease_deadline_boot_ms = deadline_boot_ms
+                return Answer(answer)
+
+            monkeypatch.setattr(GlobalService, "handle", freeze)
+            with pytest.raises(NotLeaderError):
+                await handled
+
+    asyncio.run(run())
