--- a/src/sardinespool/groups/global_service.py
+++ b/src/sardinespool/groups/global_service.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sardinespool.clock import Instant
-from sardinespool.domains.permits import start_permit_deadline_unix_ms
+from sardinespool.domains.permit import start_permit_deadline_unix_ms
 from sardinespool.errors.tasks import GroupRetiredError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.groups.contract import Answer
