End every program at its first signal

Ruled out: the hand-over of leadership, which had its own deadline. Change: asyncio.timeout in place of wait_for in all programs; the stop of a store has the deadline of its settings and ends at a second signal; a domain's leader asks for configuration every 150 ms instead of 300.

--- a/src/sardinespool/programs/daemon.py
+++ b/src/sardinespool/programs/daemon.py
@@ -77,7 +77,7 @@
     try:
         run(settings)
     except SardinespoolError as error:
-        log.error(error.text, code=error.code, **error.details)
+        log.error(error.text, **{**error.details, "code": error.code})
         sys.exit(EXIT_FAILED)
     except OSError as error:
         log.error("The operating system refused a call.", reason=error)
--- a/src/sardinespool/programs/scheduler/planning_task.py
+++ b/src/sardinespool/programs/scheduler/planning_task.py
@@ -74,7 +74,8 @@
             elapsed_ms = self._now().boot_ms - started.boot_ms
             wait_ms = max(0, self._interval_ms - elapsed_ms)
             try:
-                await asyncio.wait_for(stopping.wait(), wait_ms / 1000)
+                async with asyncio.timeout(wait_ms / 1000):
+                    await stopping.wait()
             except TimeoutError:
                 continue
 
--- a/src/sardinespool/programs/store/domain_link.py
+++ b/src/sardinespool/programs/store/domain_link.py
@@ -9,14 +9,14 @@
 from sardinespool.transport import system_clock
 from sardinespool.transport.rpc_client import GroupClient
 
-SYNC_INTERVAL_MS = 300
+SYNC_INTERVAL_MS = 150
 SYNC_TIMEOUT_MS = 2_000
 
 _LOG = get_logger("store")
 
 
 class DomainLink:
-    """Calls `SyncDomain` every 300 ms while this member leads its group.
+    """Calls `SyncDomain` every 150 ms while this member leads its group.
 
     Parameters
     ----------
--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -184,11 +184,10 @@
     async def _next_batch(self) -> list[RunnerEvent]:
         batch: list[RunnerEvent] = []
         try:
-            batch.append(
-                await asyncio.wait_for(
-                    self._queue.get(), TICK_INTERVAL_MS / 1000
-                )
-            )
+            # asyncio.wait_for of Python 3.11 drops a cancellation that
+            # arrives together with an event.
+            async with asyncio.timeout(TICK_INTERVAL_MS / 1000):
+                batch.append(await self._queue.get())
         except TimeoutError:
             return batch
         while len(batch) < BATCH_EVENTS_MAX and not self._queue.empty():
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -99,9 +99,7 @@
         )
         await self._wait_for_end()
         await self._transfer_leadership()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         server.close()
         await status.stop()
         await self._connector.close()
@@ -288,6 +286,17 @@
         for task in done - {stopping}:
             await task
 
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        aborted = asyncio.create_task(self._aborted.wait())
+        ended = asyncio.create_task(_first_of(aborted, self._tasks))
+        await asyncio.wait(
+            [ended], timeout=self._settings.stop_timeout_ms / 1000
+        )
+        aborted.cancel()
+        ended.cancel()
+
     async def _transfer_leadership(self) -> None:
         leading = [
             runner
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -90,7 +90,8 @@
             self._streams.discard(frames)
 
     async def _check_hello(self, frames: FrameStream) -> None:
-        frame = await asyncio.wait_for(frames.read(), HELLO_TIMEOUT_MS / 1000)
+        async with asyncio.timeout(HELLO_TIMEOUT_MS / 1000):
+            frame = await frames.read()
         if (
             frame.kind is not FrameKind.HELLO
             or frame.protocol_version != PROTOCOL_VERSION
--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -97,7 +97,8 @@
             )
         )
         try:
-            return await asyncio.wait_for(future, timeout_ms / 1000)
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await future
         except TimeoutError as error:
             raise CallTimeoutError(
                 "No reply before the deadline.", address=self._address
@@ -131,10 +132,10 @@
     async def _connect(self) -> FrameStream:
         host, port = split_address(self._address)
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(host, port, ssl_options=self._context),
-                CONNECT_TIMEOUT_MS / 1000,
-            )
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                stream = await self._client.connect(
+                    host, port, ssl_options=self._context
+                )
         except TimeoutError as error:
             raise ConnectionLostError("The connect timed out.") from error
         return FrameStream(stream)
--- a/testing/store/test_group_runner.py
+++ b/testing/store/test_group_runner.py
@@ -156,3 +156,23 @@
                 await handled
 
     asyncio.run(run())
+
+
+def test_cancellation_with_an_event_ends_the_runner(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a store that does not end at SIGTERM."""
+
+    async def run() -> None:
+        member = Member(tmp_path, Clock())
+        task = asyncio.create_task(member.runner.run())
+        await asyncio.sleep(0)
+        call = asyncio.create_task(member.runner.call(ReadConfiguration()))
+        await asyncio.sleep(0)
+        task.cancel()
+        done, _ = await asyncio.wait([task], timeout=5)
+        assert done
+        call.cancel()
+        await asyncio.gather(task, call, return_exceptions=True)
+
+    asyncio.run(run())
