Bound stored answers and name each release of a job

Cause: the request table was bounded in records but not in bytes, so 200,000 answers of 1 MiB could fill a host; a late record of an earlier release could remove a job that was released again; a heartbeat without its time of sending would never lead to a denial. Ruled out: a smaller body limit, which would refuse answers that one user needs; the bound is on the sum. Change: 64 MiB of stored bodies a group, then new keys are refused as not run; releases are named by job and assignment; the entry refuses a heartbeat without sent_unix_ms.

--- a/src/sardinespool/capacity/grants.py
+++ b/src/sardinespool/capacity/grants.py
@@ -12,6 +12,13 @@
 GRANT_MS = 3_000
 """Time from a grant to its deadline."""
 
+SHARES_MS = 250
+"""Time between two divisions by demand, the interval of entries' reports.
+
+The division is kept in between: it would cost more than all other work on
+an entry's report.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Held:
@@ -35,12 +42,15 @@
         self._held: dict[str, dict[str, tuple[_Held, ...]]] = {}
         self._demands: dict[str, dict[str, int]] = {}
         self._synced_unix_ms: dict[str, int] = {}
+        self._shares: dict[str, dict[str, int]] = {}
+        self._shares_unix_ms = 0
 
     def become_leader(self, now_unix_ms: int) -> None:
         """Forget everything; earlier leaders' grants have to end first."""
         self._held = {}
         self._demands = {}
         self._synced_unix_ms = {}
+        self._shares = {}
         self._first_grant_unix_ms = now_unix_ms + GRANT_MS + CLOCK_ERROR_MS
 
     def sync(
@@ -56,6 +66,9 @@
             demand.worker_id: max(0, demand.in_use) for demand in sync.demands
         }
         self._expire(now_unix_ms)
+        if not 0 <= now_unix_ms - self._shares_unix_ms < SHARES_MS:
+            self._shares = {}
+            self._shares_unix_ms = now_unix_ms
         if now_unix_ms < self._first_grant_unix_ms:
             return ()
         deadline_unix_ms = now_unix_ms + GRANT_MS
@@ -99,15 +112,26 @@
     def _grantable(
         self, endpoint: Endpoint, entry_id: str, now_unix_ms: int
     ) -> int:
-        floor = endpoint.slots // self._entry_count
-        remainder = endpoint.slots - floor * self._entry_count
-        weights = {
-            name: 1 + demands.get(endpoint.worker_id, 0)
-            for name, demands in self._demands.items()
-        }
-        share = apportion(remainder, weights)[entry_id]
-        held = self.held_slots(endpoint.worker_id, now_unix_ms)
-        others = sum(slots for name, slots in held.items() if name != entry_id)
+        remainder = endpoint.slots % self._entry_count
+        if remainder == 0:
+            return 0
+        worker_id = endpoint.worker_id
+        shares = self._shares.get(worker_id)
+        if shares is None or entry_id not in shares:
+            weights = {
+                name: 1 + demands.get(worker_id, 0)
+                for name, demands in self._demands.items()
+            }
+            shares = apportion(remainder, weights)
+            self._shares[worker_id] = shares
+        share = shares[entry_id]
+        if share == 0:
+            return 0
+        others = sum(
+            _largest(grants, now_unix_ms)
+            for name, grants in self._held.get(worker_id, {}).items()
+            if name != entry_id
+        )
         return min(share, remainder - others)
 
     def _release(self, entry_id: str) -> None:
@@ -131,8 +155,12 @@
 
 
 def _largest(grants: tuple[_Held, ...], now_unix_ms: int) -> int:
-    live = _live(grants, now_unix_ms)
-    return max((grant.slots for grant in live), default=0)
+    ended_unix_ms = now_unix_ms - CLOCK_ERROR_MS
+    largest = 0
+    for grant in grants:
+        if grant.slots > largest and grant.deadline_unix_ms >= ended_unix_ms:
+            largest = grant.slots
+    return largest
 
 
 def _with(
--- a/src/sardinespool/groups/domain_machine.py
+++ b/src/sardinespool/groups/domain_machine.py
@@ -235,8 +235,8 @@
     def _record_jobs(self, body: JobsRecorded, now_unix_ms: int) -> None:
         for job_id in body.finished_jobs:
             jobs.record_finished(self.tasks, job_id, now_unix_ms)
-        for job_id in body.released_jobs:
-            jobs.record_released(self.tasks, job_id)
+        for release in body.released_jobs:
+            jobs.record_released(self.tasks, release)
 
     def _begin(
         self, body: BeginRequest, now_unix_ms: int
--- a/src/sardinespool/groups/domain_sync.py
+++ b/src/sardinespool/groups/domain_sync.py
@@ -8,6 +8,7 @@
 from sardinespool.messages.configuration import ProcessVersion
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import SyncDomain
+from sardinespool.tasks.jobs import is_released
 from sardinespool.tasks.jobs import released_jobs
 
 
@@ -46,9 +47,9 @@
         if job_id in machine.tasks.finished_jobs
     )
     released = tuple(
-        job_id
-        for job_id in reply.recorded_released_jobs
-        if job_id in machine.tasks.released_jobs
+        release
+        for release in reply.recorded_released_jobs
+        if is_released(machine.tasks, release)
     )
     if finished or released:
         commands.append(
--- a/src/sardinespool/groups/global_service.py
+++ b/src/sardinespool/groups/global_service.py
@@ -34,6 +34,7 @@
 from sardinespool.messages.jobs import JobList
 from sardinespool.messages.jobs import ListJobs
 from sardinespool.messages.jobs import ReleasedJob
+from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import SubmitJob
 from sardinespool.messages.jobs import SyncDomain
 
@@ -159,7 +160,10 @@
                 if self._is_recorded_finished(job_id, request.failure_domain)
             ),
             recorded_released_jobs=tuple(
-                released.job_id
+                ReleaseId(
+                    job_id=released.job_id,
+                    assign_sequence=released.assign_sequence,
+                )
                 for released in request.released_jobs
                 if self._is_recorded_released(released, request.failure_domain)
             ),
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -13,6 +13,7 @@
 from sardinespool.messages.configuration import SubmitPatch
 from sardinespool.messages.jobs import CancelJob
 from sardinespool.messages.jobs import JobChange
+from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import SubmitJob
 from sardinespool.messages.jobs import SyncDomain
 from sardinespool.messages.requests import AbandonRequest
@@ -53,7 +54,7 @@
     """The global group has recorded finished and released jobs."""
 
     finished_jobs: tuple[str, ...] = ()
-    released_jobs: tuple[str, ...] = ()
+    released_jobs: tuple[ReleaseId, ...] = ()
 
 
 class RecordWorker(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/messages/jobs.py
+++ b/src/sardinespool/messages/jobs.py
@@ -72,6 +72,13 @@
     checkpoint: str = ""
 
 
+class ReleaseId(Record, frozen=True, kw_only=True):
+    """Names one release of a job, also when the job comes back later."""
+
+    job_id: str
+    assign_sequence: int
+
+
 class ReleasedJob(Record, frozen=True, kw_only=True):
     """A job that its home released, with every task stopped.
 
@@ -123,4 +130,4 @@
     start_permit_deadline_unix_ms: int
     job_changes: tuple[JobChange, ...] = ()
     recorded_finished_jobs: tuple[str, ...] = ()
-    recorded_released_jobs: tuple[str, ...] = ()
+    recorded_released_jobs: tuple[ReleaseId, ...] = ()
--- a/src/sardinespool/programs/entry/worker_handler.py
+++ b/src/sardinespool/programs/entry/worker_handler.py
@@ -54,6 +54,12 @@
             heartbeat = self._decoder.decode(request.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise InvalidMessageError(str(error)) from error
+        if heartbeat.sent_unix_ms <= 0:
+            # Absent tasks are judged by the time of sending.
+            raise InvalidMessageError(
+                "the heartbeat does not say when it was sent",
+                field="sent_unix_ms",
+            )
         if heartbeat.failure_domain != self._failure_domain:
             raise FailureDomainMismatchError(
                 "the worker is in another failure domain than this entry",
--- a/src/sardinespool/requests/table.py
+++ b/src/sardinespool/requests/table.py
@@ -15,6 +15,7 @@
 from sardinespool.messages.requests import BeginReply
 from sardinespool.messages.requests import BeginRequest
 from sardinespool.messages.requests import FinishRequest
+from sardinespool.messages.requests import StoredAnswer
 from sardinespool.messages.tasks import Accepted
 from sardinespool.requests.record import OUTCOME_WAIT_MS
 from sardinespool.requests.record import RequestRecord
@@ -23,6 +24,12 @@
 RECORDS_LIMIT = 200_000
 """Largest number of records."""
 
+ANSWER_BYTES_LIMIT = 64 * 1_048_576
+"""Stored bodies from which on no new key is claimed.
+
+Every member of the group holds them in memory and in each snapshot.
+"""
+
 # A record outlasts its generated key although the clocks of the entry that
 # generated it and of two leaders differ.
 _EXPIRY_MARGIN_MS = 2 * CLOCK_ERROR_MS
@@ -35,17 +42,26 @@
     ----------
     records : dict
         Key to record.
+    answer_bytes : int
+        Length of all stored bodies.
     """
 
-    def __init__(self, records_limit: int = RECORDS_LIMIT) -> None:
+    def __init__(
+        self,
+        records_limit: int = RECORDS_LIMIT,
+        answer_bytes_limit: int = ANSWER_BYTES_LIMIT,
+    ) -> None:
         self.records: dict[str, RequestRecord] = {}
         self._records_limit = records_limit
+        self._answer_bytes_limit = answer_bytes_limit
+        self.answer_bytes = 0
         self._expiries: list[tuple[int, str]] = []
 
     def load(self, records: Iterable[RequestRecord]) -> None:
         """Fill an empty table."""
         for record in records:
             self._put(record)
+            self.answer_bytes += _answer_bytes(record.answer)
 
     def ordered(self) -> list[RequestRecord]:
         """Return every record by key."""
@@ -84,11 +100,17 @@
     ) -> BeginReply | Refused:
         """Claim a key that has no record or an abandoned one."""
         known = request.key in self.records
-        if not known and len(self.records) >= self._records_limit:
+        if not known and (
+            len(self.records) >= self._records_limit
+            or self.answer_bytes >= self._answer_bytes_limit
+        ):
             return Refused(
                 code=RequestTableFullError.code,
                 text="The table of request records is full.",
-                details={"records": len(self.records)},
+                details={
+                    "records": len(self.records),
+                    "answer_bytes": self.answer_bytes,
+                },
             )
         if now_unix_ms > request.send_deadline_unix_ms:
             return Refused(
@@ -125,6 +147,7 @@
             )
         if record.state == "finished":
             return Accepted()
+        self.answer_bytes += _answer_bytes(request.answer)
         self.records[request.key] = msgspec.structs.replace(
             record,
             state="unknown" if request.answer is None else "finished",
@@ -155,6 +178,7 @@
             expiry_unix_ms, key = heapq.heappop(self._expiries)
             record = self.records.get(key)
             if record is not None and _expiry_of(record) == expiry_unix_ms:
+                self.answer_bytes -= _answer_bytes(record.answer)
                 del self.records[key]
 
     def _put(self, record: RequestRecord) -> None:
@@ -162,5 +186,9 @@
         heapq.heappush(self._expiries, (_expiry_of(record), record.key))
 
 
+def _answer_bytes(answer: StoredAnswer | None) -> int:
+    return 0 if answer is None else len(answer.body)
+
+
 def _expiry_of(record: RequestRecord) -> int:
     return record.begun_unix_ms + RETENTION_MS + _EXPIRY_MARGIN_MS
--- a/src/sardinespool/tasks/jobs.py
+++ b/src/sardinespool/tasks/jobs.py
@@ -10,6 +10,7 @@
 from sardinespool.messages.jobs import Job
 from sardinespool.messages.jobs import JobChange
 from sardinespool.messages.jobs import ReleasedJob
+from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import TaskTransfer
 from sardinespool.messages.tasks import Accepted
 from sardinespool.tasks import transitions
@@ -135,10 +136,22 @@
         )
 
 
-def record_released(table: TaskTable, job_id: str) -> None:
+def is_released(table: TaskTable, release: ReleaseId) -> bool:
+    """Return whether a job waits for the record of this release.
+
+    A late record of an earlier release does not count.
+    """
+    return (
+        release.job_id in table.released_jobs
+        and table.jobs[release.job_id].assign_sequence
+        == release.assign_sequence
+    )
+
+
+def record_released(table: TaskTable, release: ReleaseId) -> None:
     """Remove a released job that the global group now holds."""
-    if job_id in table.released_jobs:
-        table.remove_job(job_id)
+    if is_released(table, release):
+        table.remove_job(release.job_id)
 
 
 def forget_jobs(table: TaskTable, before_unix_ms: int) -> None:
--- a/src/sardinespool/tasks/workers.py
+++ b/src/sardinespool/tasks/workers.py
@@ -122,6 +122,7 @@
     def __init__(self) -> None:
         self.workers: dict[str, WorkerRecord] = {}
         self.table_version = 0
+        self._endpoints: tuple[Endpoint, ...] | None = None
         self._removals: list[tuple[int, str]] = []
 
     def load(
@@ -138,6 +139,7 @@
         before = None if old is None else old.endpoint
         if before != worker.endpoint:
             self.table_version += 1
+            self._endpoints = None
         self.workers[worker.worker_id] = worker
         if worker.lost:
             heapq.heappush(
@@ -188,5 +190,9 @@
 
     def endpoints(self) -> tuple[Endpoint, ...]:
         """Return the endpoints by worker id."""
-        found = (worker.endpoint for worker in self.ordered())
-        return tuple(endpoint for endpoint in found if endpoint is not None)
+        if self._endpoints is None:
+            found = (worker.endpoint for worker in self.ordered())
+            self._endpoints = tuple(
+                endpoint for endpoint in found if endpoint is not None
+            )
+        return self._endpoints
--- a/testing/entry/test_operators.py
+++ b/testing/entry/test_operators.py
@@ -158,7 +158,10 @@
 ) -> None:
     """Guards against a worker registered in the wrong failure domain."""
     heartbeat = t.Heartbeat(
-        worker_id="w1", incarnation=2, failure_domain=domain
+        worker_id="w1",
+        incarnation=2,
+        failure_domain=domain,
+        sent_unix_ms=1,
     )
     reply = t.HeartbeatReply(lease_deadline_unix_ms=5)
     untagged = msgspec.to_builtins(heartbeat)
--- a/testing/groups/test_domain_machine.py
+++ b/testing/groups/test_domain_machine.py
@@ -13,6 +13,7 @@
 from sardinespool.messages.commands import Refused
 from sardinespool.messages.commands import WorkerLost
 from sardinespool.messages.jobs import Job
+from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import TaskTransfer
 from sardinespool.messages.requests import BeginRequest
 from sardinespool.messages.tasks import Accepted
@@ -173,7 +174,7 @@
     group.add_job("k")
     group.run("k/0")
     group.call(report("k/0", 1, "completed"))
-    assert group.machine.workers.workers["w1"].failed_jobs == ()
+    assert not group.machine.workers.workers["w1"].failed_jobs
 
 
 @pytest.mark.parametrize("action", ["stopped", "completed", "lost", "denied"])
@@ -300,7 +301,8 @@
     moved = TaskTransfer(number=0, attempt=1, state="queued", checkpoint="c")
     assert released.assign_sequence == 1
     assert released.tasks[0] == moved
-    group.apply(JobsRecorded(released_jobs=("j",)))
+    first = ReleaseId(job_id="j", assign_sequence=1)
+    group.apply(JobsRecorded(released_jobs=(first,)))
     assert group.machine.tasks.jobs == {}
     back = group.job_change(
         "assign",
@@ -312,10 +314,14 @@
         ),
     )
     group.apply(AcceptJobs(changes=(back,)))
-    group.apply(JobsRecorded(released_jobs=("j",)))
+    group.apply(JobsRecorded(released_jobs=(first,)))
     assert group.state_of("j/1") == "completed"
-    group.run("j/0", "w2")
+    group.run("j/0")
     assert group.machine.tasks.tasks["j/0"].attempt == 2
+    group.call(report("j/0", 2, "stopped"))
+    assert group.call(ReleaseJob(job_id="j")) == Accepted()
+    group.apply(JobsRecorded(released_jobs=(first,)))
+    assert "j" in group.machine.tasks.released_jobs
 
 
 def test_snapshot_round_trip_keeps_behaviour() -> None:
@@ -348,3 +354,11 @@
         group.apply(body)
         group.machine = mine
     assert other.snapshot() == group.machine.snapshot() != data
+
+
+def test_equal_states_give_equal_bytes() -> None:
+    """Guards against replicas that seem to differ by the order of keys."""
+    one, two = Group(), Group()
+    one.configure(1, a__x=1, b__y=2)
+    two.configure(1, b__y=2, a__x=1)
+    assert one.machine.snapshot() == two.machine.snapshot()
--- a/testing/groups/test_domain_service.py
+++ b/testing/groups/test_domain_service.py
@@ -326,7 +326,11 @@
         )
 
     group.configure(2)
-    serving = {"address": "ip:1", "services": ("seats",), "slots": 8}
+    serving: dict[str, Any] = {
+        "address": "ip:1",
+        "services": ("seats",),
+        "slots": 8,
+    }
     group.call(heartbeat(**serving))
     view = sync(0, 0)
     assert (view.group_incarnation, view.configuration.version) == ("g1", 2)
--- a/testing/groups/test_global.py
+++ b/testing/groups/test_global.py
@@ -18,11 +18,13 @@
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import Job
 from sardinespool.messages.jobs import ReleasedJob
+from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import SubmitJob
 from sardinespool.messages.jobs import SyncDomain
 from sardinespool.messages.jobs import TaskTransfer
 
 DOMAINS = ("centro", "norte", "sur")
+RELEASED = ReleaseId(job_id="j", assign_sequence=1)
 TRANSFER = TaskTransfer(number=0, attempt=3, state="queued", checkpoint="c")
 
 
@@ -151,7 +153,7 @@
     group.set_state("norte", "out-of-service")
     report = release("j", 1)
     reply = group.sync("norte", known_job_sequence=1, **report)
-    assert reply.recorded_released_jobs == ("j",)
+    assert reply.recorded_released_jobs == (RELEASED,)
     group.sync("norte", known_job_sequence=1, **report)
     moved = [
         change
@@ -169,10 +171,10 @@
         group.set_state(name, "out-of-service")
     report = release("j", 1)
     reply = group.sync("norte", known_job_sequence=1, **report)
-    assert reply.recorded_released_jobs == ("j",)
+    assert reply.recorded_released_jobs == (RELEASED,)
     group.set_state("norte", "in-service")
     reply = group.sync("norte", known_job_sequence=1, **report)
-    assert reply.recorded_released_jobs == ("j",)
+    assert reply.recorded_released_jobs == (RELEASED,)
     assert [change.sequence for change in reply.job_changes] == [2]
 
 
--- a/testing/requests/test_table.py
+++ b/testing/requests/test_table.py
@@ -146,3 +146,18 @@
             assert code == outcome
         case None:
             assert outcome is None
+
+
+def test_stored_answers_are_bounded_in_bytes() -> None:
+    """Guards against large answers that fill the memory of a group."""
+    table = RequestTable(answer_bytes_limit=len(ANSWER.body))
+    assert _claim(table, _begin("a"), 1) == "granted"
+    table.finish(FINISH)
+    assert _claim(table, _begin("a", "k2"), 2) == "request-table-full"
+    assert _claim(table, _begin("b"), 2) == "finished"
+    loaded = RequestTable()
+    loaded.load(table.ordered())
+    assert loaded.answer_bytes == len(ANSWER.body)
+    table.expire(2 * DAY_MS)
+    assert table.answer_bytes == 0
+    assert _claim(table, _begin("a", "k2"), 2) == "granted"
