--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the placement policy in virtual time."""
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,57 @@
+"""Simple policies to measure against."""
+
+import random
+from typing import Literal
+
+from sardinespool.messages.tasks import Placement
+from sardinespool.messages.tasks import SchedulingView
+from sardinespool.placement.demand import declared_demand
+from sardinespool.placement.demand import reservation
+from sardinespool.placement.fleet import Fleet
+from sardinespool.placement.fleet import WorkerState
+from sardinespool.placement.plan import Plan
+
+Rule = Literal["random", "least-loaded", "best-fit"]
+
+
+class Baseline:
+    """Places tasks in order of arrival by one rule, within hard limits.
+
+    It keeps the limits that the group checks (larger of declared and
+    observed use), so that no rule is punished by refusals.
+    """
+
+    def __init__(self, rule: Rule, seed: int) -> None:
+        self._rule = rule
+        self._rng = random.Random(seed)
+
+    def plan(self, view: SchedulingView) -> Plan:
+        """Plan one pass."""
+        if not view.in_service:
+            return Plan()
+        fleet = Fleet(view, 1.25)
+        placements = []
+        for task in sorted(fleet.queued, key=lambda t: t.queued_unix_ms):
+            demand = reservation(task, 1.25)
+            found = [w for w in fleet.workers.values() if w.fits(demand)]
+            if not found:
+                continue
+            worker = self._choose(found)
+            worker.reserve(demand)
+            declared = declared_demand(task)
+            placements.append(
+                Placement(
+                    task_id=task.task_id,
+                    worker_id=worker.view.worker_id,
+                    expected_attempt=task.attempt,
+                    processors_millicores=declared.processors_millicores,
+                    memory_mb=declared.memory_mb,
+                )
+            )
+        return Plan(placements=tuple(placements))
+
+    def _choose(self, found: list[WorkerState]) -> WorkerState:
+        if self._rule == "random":
+            return self._rng.choice(found)
+        by_room = min if self._rule == "best-fit" else max
+        return by_room(found, key=lambda w: w.free_processors_millicores)
--- /dev/null
+++ b/bench/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces of the placement policy."""
--- /dev/null
+++ b/bench/fakes/arrivals.py
@@ -0,0 +1,144 @@
+"""Jobs and request load that shift over time."""
+
+import math
+import random
+
+from bench.fakes.task import FakeTask
+from bench.scenarios import Scenario
+from bench.scenarios import Shape
+from bench.truth import CLASSES
+from bench.truth import Truth
+from bench.truth import WATCHER
+from sardinespool.messages.jobs import Job
+
+WAVE_MS = 40_000
+
+
+class ArrivalSource:
+    """Draws jobs at a rate that offers a share of the processors.
+
+    Every class has its own true size, run time and error of declaration.
+    Under noise waves three classes at a time make up most arrivals.
+    """
+
+    def __init__(
+        self, seed: int, shape: Shape, scenario: Scenario, truth: Truth
+    ) -> None:
+        self._rng = random.Random(f"arrivals {seed}")
+        self._shape = shape
+        self._scenario = scenario
+        self._truth = truth
+        self._number = 0
+        rng = self._rng
+        host = shape.processors_millicores
+        wrong = scenario.declaration_error
+        self._cores = [int(host * rng.uniform(0.02, 0.1)) for _ in CLASSES]
+        self._memory = [
+            int(shape.memory_mb * rng.uniform(0.01, 0.08)) for _ in CLASSES
+        ]
+        self._run_ms = [rng.uniform(10_000, 40_000) for _ in CLASSES]
+        self._errors = [
+            (wrong ** rng.uniform(-1, 1), wrong ** rng.uniform(-1, 1))
+            for _ in CLASSES
+        ]
+        self._backlog = 0.0
+
+    def request_load(self, unix_ms: int) -> float:
+        """Return the load of the request services, 0.2 to 0.9."""
+        phase = 2 * math.pi * unix_ms / 100_000
+        return 0.55 + 0.35 * math.sin(phase)
+
+    def _weights(self, elapsed_ms: int) -> list[float]:
+        if not self._scenario.noise_waves:
+            return [1.0] * len(CLASSES)
+        wave = elapsed_ms // WAVE_MS
+        loud = random.Random(f"wave {wave}").sample(range(len(CLASSES)), 3)
+        return [
+            6.0 if number in loud else 0.5 for number in range(len(CLASSES))
+        ]
+
+    def jobs(
+        self, unix_ms: int, elapsed_ms: int, step_ms: int
+    ) -> list[tuple[Job, list[FakeTask]]]:
+        """Return the jobs that arrive in one step."""
+        shape = self._shape
+        total = shape.processors_millicores * shape.worker_count
+        self._backlog += self._scenario.load * total * step_ms
+        result = []
+        while self._backlog > 0:
+            job, tasks = self._job(unix_ms, elapsed_ms)
+            self._backlog -= sum(
+                task.processors_millicores * task.work_ms for task in tasks
+            )
+            result.append((job, tasks))
+        return result
+
+    def _job(
+        self, unix_ms: int, elapsed_ms: int
+    ) -> tuple[Job, list[FakeTask]]:
+        rng = self._rng
+        shape = self._shape
+        kind = rng.choices(range(len(CLASSES)), self._weights(elapsed_ms))[0]
+        self._number += 1
+        count = rng.randint(1, 6)
+        run_ms = self._run_ms[kind] * rng.uniform(0.7, 1.3)
+        cores = int(self._cores[kind] * rng.uniform(0.9, 1.1))
+        memory_mb = int(self._memory[kind] * rng.uniform(0.9, 1.1))
+        cores_error, memory_error = self._errors[kind]
+        margin = rng.uniform(1.0, 1.4)
+        job = Job(
+            job_id=f"job-{self._number}",
+            team=f"team-{self._number % 5}",
+            priority="urgent" if rng.random() < 0.02 else "normal",
+            task_count=count,
+            processors_millicores=min(
+                shape.processors_millicores // 2,
+                int(cores * cores_error * margin),
+            ),
+            memory_mb=min(
+                shape.memory_mb // 2, int(memory_mb * memory_error * margin)
+            ),
+            expected_run_ms=int(run_ms * rng.uniform(0.5, 2.0)),
+            finish_deadline_unix_ms=int(unix_ms + run_ms * rng.uniform(2, 8)),
+            task_class=CLASSES[kind],
+        )
+        broken = rng.random() < self._scenario.broken_jobs
+        return job, [
+            FakeTask(
+                f"{job.job_id}/{number}",
+                job,
+                self._truth.index[CLASSES[kind]],
+                cores,
+                memory_mb,
+                run_ms,
+                broken=broken,
+                queued_unix_ms=unix_ms,
+            )
+            for number in range(count)
+        ]
+
+    def watchers(self, unix_ms: int) -> tuple[Job, list[FakeTask]]:
+        """Return a latency-critical job that runs to the end."""
+        shape = self._shape
+        job = Job(
+            job_id="watchers",
+            team="team-0",
+            kind="latency-critical",
+            task_count=shape.worker_count // 2,
+            processors_millicores=shape.processors_millicores // 32,
+            memory_mb=shape.memory_mb // 64,
+            expected_run_ms=10**9,
+            task_class=WATCHER,
+        )
+        return job, [
+            FakeTask(
+                f"watchers/{number}",
+                job,
+                self._truth.index[WATCHER],
+                job.processors_millicores,
+                job.memory_mb,
+                1e12,
+                queued_unix_ms=unix_ms,
+            )
+            for number in range(job.task_count)
+        ]
--- a/demo/settings_files.py
+++ b/demo/settings_files.py
@@ -146,7 +146,11 @@
 
     def _add_scheduler(self, domain: str) -> None:
         address = self._addresses.pop()
-        settings = {"failure_domain": domain, "http_address": address}
+        settings = {
+            "failure_domain": domain,
+            "http_address": address,
+            "throttle_above": self._shape.throttle_above,
+        }
         name = f"scheduler-{domain}-1"
         self._add_program("scheduler", name, domain, address, settings)
 
--- a/demo/shape.py
+++ b/demo/shape.py
@@ -32,6 +32,7 @@
     processors_millicores: int
     memory_mb: int
     replace_with_empty_folder: bool
+    throttle_above: float
 
     @property
     def domain_names(self) -> tuple[str, ...]:
@@ -57,6 +58,7 @@
         processors_millicores=64_000,
         memory_mb=250_000,
         replace_with_empty_folder=True,
+        throttle_above=2.5,
     ),
     "lillekoda": Shape(
         name="lillekoda",
@@ -72,6 +74,7 @@
         processors_millicores=16_000,
         memory_mb=62_000,
         replace_with_empty_folder=False,
+        throttle_above=1.5,
     ),
 }
 
--- a/src/sardinespool/placement/fleet.py
+++ b/src/sardinespool/placement/fleet.py
@@ -4,7 +4,6 @@
 from sardinespool.messages.tasks import TaskView
 from sardinespool.messages.tasks import WorkerView
 from sardinespool.placement.demand import Demand
-from sardinespool.placement.demand import reservation
 from sardinespool.placement.demand import task_class
 
 ACTIVE_STATES = frozenset({"placed", "running", "stopping"})
@@ -115,16 +114,38 @@
                 self._add_active(task, margin)
 
     def _add_active(self, task: TaskView, margin: float) -> None:
+        # `reservation`, `charge` and `reserve` written out: this runs for
+        # every task in every pass and calls would double the time.
         self.active_tasks += 1
-        demand = reservation(task, margin)
-        self.charge(task.job.team, demand)
+        job = task.job
+        processors = job.processors_millicores
+        if task.reserved_processors_millicores > processors:
+            processors = task.reserved_processors_millicores
+        observed = task.observed_processors_millicores * margin
+        if observed > processors:
+            processors = int(observed)
+        memory_mb = job.memory_mb
+        if task.reserved_memory_mb > memory_mb:
+            memory_mb = task.reserved_memory_mb
+        observed = task.observed_memory_mb * margin
+        if observed > memory_mb:
+            memory_mb = int(observed)
+        use = self.team_use.get(job.team)
+        if use is None:
+            use = self.team_use[job.team] = [0, 0, 0, 0]
+        use[0] += processors
+        use[1] += memory_mb
+        use[2] += job.accelerators
+        use[3] += 1
         worker = self.workers.get(task.worker_id)
         if worker is None:
             return
         worker.tasks.append(task)
-        worker.reserve(demand)
-        if task.job.kind == "latency-critical":
-            self.count_rack(task.job.job_id, worker.view.rack)
+        worker.free_processors_millicores -= processors
+        worker.free_memory_mb -= memory_mb
+        worker.free_accelerators -= job.accelerators
+        if job.kind == "latency-critical":
+            self.count_rack(job.job_id, worker.view.rack)
 
     def charge(self, team: str, demand: Demand) -> None:
         """Add a demand to the use of a team."""
--- a/src/sardinespool/placement/interference.py
+++ b/src/sardinespool/placement/interference.py
@@ -86,7 +86,12 @@
     def observe(self, fleet: Fleet) -> None:
         """Learn from the reports of some workers of a view."""
         settings = self._settings
-        workers = [worker for worker in fleet.usable() if worker.tasks]
+        # Idle workers count: their request latency is the baseline.
+        workers = [
+            worker
+            for worker in fleet.usable()
+            if worker.tasks or worker.view.services
+        ]
         if len(workers) > settings.learning_workers_per_plan:
             workers = self._rng.sample(
                 workers, settings.learning_workers_per_plan
--- a/src/sardinespool/placement/noise.py
+++ b/src/sardinespool/placement/noise.py
@@ -44,7 +44,7 @@
         self.evictions = []
         keep = budget.available() / 2.0
         for worker in fleet.usable():
-            if not worker.view.services or not worker.tasks:
+            if not worker.tasks:
                 continue
             decided_unix_ms = self._decided_unix_ms.get(
                 worker.view.worker_id, 0
--- a/src/sardinespool/placement/policy.py
+++ b/src/sardinespool/placement/policy.py
@@ -210,31 +210,41 @@
             if settings.has("order")
             else iter(sorted(tasks, key=lambda task: task.queued_unix_ms))
         )
+        sizes: dict[str, Demand | None] = {}
+        blocked: set[str] = set()
         for task in queue:
-            own = feasibility.clamp(
-                reservation(task, settings.usage_margin),
-                declared_demand(task),
-            )
-            if not feasibility.check(task, own):
+            job_id = task.job.job_id
+            if job_id in blocked:
                 continue
-            if len(placing.placements) >= limit:
+            if task.observed_memory_mb or job_id not in sizes:
+                sizes[job_id] = self._demand(feasibility, task)
+            demand = sizes[job_id]
+            if demand is None or len(placing.placements) >= limit:
                 continue
-            demand = self._sized(feasibility, task, own)
             if placing.place(task, demand):
                 continue
-            if (
-                rank(task) == 0
-                and settings.has("preemption")
-                and quotas.allow(task.job.team, demand)
+            if rank(task) > 0:
+                # Room and quotas only shrink within a pass.
+                if not task.failed_workers:
+                    blocked.add(job_id)
+            elif settings.has("preemption") and quotas.allow(
+                task.job.team, demand
             ):
                 preemption.make_room(task, demand, targets)
         self._ramp.started(len(placing.placements))
 
-    def _sized(
-        self, feasibility: Feasibility, task: TaskView, own: Demand
-    ) -> Demand:
-        """Return the learned size, or `own` if no worker holds that."""
-        demand = self._usage.size(task, own)
-        if demand == own or feasibility.fits_empty(demand):
-            return demand
-        return own
+    def _demand(
+        self, feasibility: Feasibility, task: TaskView
+    ) -> Demand | None:
+        """Return what to reserve for a task, None if it can never run.
+
+        The learned size is used only if some worker could hold it.
+        """
+        own = feasibility.clamp(
+            reservation(task, self._settings.usage_margin),
+            declared_demand(task),
+        )
+        if not feasibility.check(task, own):
+            return None
+        sized = self._usage.size(task, own)
+        return sized if feasibility.fits_empty(sized) else own
--- a/src/sardinespool/placement/settings.py
+++ b/src/sardinespool/placement/settings.py
@@ -84,7 +84,7 @@
     learning_workers_per_plan: int = 128
     report_lag_ms: int = 3_000
     throttle_above: float = 1.5
-    evict_above: float = 2.5
+    evict_above: float = 4.0
     throttle_minimum: float = 0.25
     decision_interval_ms: int = 5_000
     evictions_per_worker_minute: float = 0.5
--- a/src/sardinespool/programs/scheduler/scheduler_process.py
+++ b/src/sardinespool/programs/scheduler/scheduler_process.py
@@ -89,7 +89,9 @@
         return PlanningTask(
             settings.name,
             GroupClient(group, addresses, connector),
-            PlacementPolicy(PolicySettings(), seed),
+            PlacementPolicy(
+                PolicySettings(throttle_above=settings.throttle_above), seed
+            ),
             SchedulerMetrics(metrics),
             system_clock.now,
             settings.interval_ms,
--- a/src/sardinespool/settings/model.py
+++ b/src/sardinespool/settings/model.py
@@ -101,13 +101,19 @@
 
 
 class SchedulerSettings(Settings, frozen=True, kw_only=True):
-    """Settings of ``sardinespool-scheduler``."""
+    """Settings of ``sardinespool-scheduler``.
+
+    `throttle_above` is the ratio of request latency to the undisturbed one
+    above which batch tasks are throttled: lower for tail latency, higher
+    for batch throughput.
+    """
 
     cluster: ClusterSettings
     name: str
     failure_domain: str
     http_address: str
     interval_ms: int = 500
+    throttle_above: float = 1.5
     stop_timeout_ms: int = 30_000
 
 
--- a/src/sardinespool/settings/program_checks.py
+++ b/src/sardinespool/settings/program_checks.py
@@ -15,6 +15,9 @@
 from sardinespool.settings.model import StoreSettings
 from sardinespool.settings.problems import ProblemList
 
+THROTTLE_ABOVE_MAX = 3.5
+"""Below the ratio at which the policy evicts."""
+
 _POSITIVE = (
     "stop_timeout_ms",
     "queue_length",
@@ -49,6 +52,13 @@
         domain = values.get("failure_domain")
         if domain and domains and domain not in domains:
             problems.add("failure_domain", domain, _one_of(domains))
+        ratio = values.get("throttle_above")
+        if ratio is not None and not 1.0 < ratio <= THROTTLE_ABOVE_MAX:
+            problems.add(
+                "throttle_above",
+                ratio,
+                f"a ratio above 1 and at most {THROTTLE_ABOVE_MAX}",
+            )
     elif issubclass(kind, OperatorSettings):
         _check_operator(values, problems)
 
--- /dev/null
+++ b/testing/placement/test_planning_task.py
@@ -0,0 +1,163 @@
+"""The scheduler's loop against a fake group in virtual time."""
+
+import asyncio
+
+import pytest
+
+from sardinespool.clock import Instant
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import GroupUnavailableError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.commands import Refused
+from sardinespool.messages.tasks import Accepted
+from sardinespool.messages.tasks import PlacementResult
+from sardinespool.messages.tasks import PlaceTasks
+from sardinespool.messages.tasks import PlaceTasksReply
+from sardinespool.messages.tasks import SchedulerSync
+from sardinespool.messages.tasks import SchedulingView
+from sardinespool.messages.tasks import TaskList
+from sardinespool.messages.tasks import Throttle
+from sardinespool.observability.metrics import Metrics
+from sardinespool.placement.plan import Eviction
+from sardinespool.placement.plan import Plan
+from sardinespool.placement.plan import TaskFailure
+from sardinespool.placement.policy import PlacementPolicy
+from sardinespool.placement.settings import PolicySettings
+from sardinespool.programs.scheduler.plan_sender import requests_of
+from sardinespool.programs.scheduler.planning_task import PlanningTask
+from sardinespool.programs.scheduler.planning_task import READY_AGE_MS
+from sardinespool.programs.scheduler.scheduler_metrics import SchedulerMetrics
+from testing.placement.views import job
+from testing.placement.views import NOW_UNIX_MS
+from testing.placement.views import queued
+from testing.placement.views import running
+from testing.placement.views import view
+from testing.placement.views import worker
+
+
+class FakeGroup:
+    """Answers a sync with a reply or raises an error; records requests."""
+
+    def __init__(self, sync_reply: Reply | SardinespoolError) -> None:
+        self.sync_reply = sync_reply
+        self.requests: list[Request] = []
+        self.boot_ms = 1000
+        self.called = asyncio.Event()
+
+    def now(self) -> Instant:
+        return Instant(self.boot_ms, NOW_UNIX_MS)
+
+    async def call(self, request: Request, deadline_unix_ms: int) -> Reply:
+        self.requests.append(request)
+        self.called.set()
+        assert deadline_unix_ms > NOW_UNIX_MS
+        if isinstance(request, SchedulerSync):
+            if isinstance(self.sync_reply, SardinespoolError):
+                raise self.sync_reply
+            return self.sync_reply
+        if isinstance(request, PlaceTasks):
+            return PlaceTasksReply(
+                results=tuple(
+                    PlacementResult(
+                        task_id=p.task_id, placed=False, code="worker-full"
+                    )
+                    for p in request.placements
+                )
+            )
+        return TaskList(tasks=())
+
+    def planning(self) -> tuple[PlanningTask, Metrics]:
+        metrics = Metrics("scheduler", "s1")
+        settings = PolicySettings(disabled=frozenset({"ramp"}))
+        task = PlanningTask(
+            "s1",
+            self,
+            PlacementPolicy(settings, 1),
+            SchedulerMetrics(metrics),
+            self.now,
+            500,
+        )
+        return task, metrics
+
+
+def a_view() -> SchedulingView:
+    tasks = [queued(job("j")), queued(job("huge", memory_mb=10**6))]
+    return view([worker("w")], [*tasks, running(job("r"), "w")])
+
+
+def test_pass_sends_the_plan_and_counts_refusals() -> None:
+    """Guards against a plan that is made and not sent."""
+    group = FakeGroup(a_view())
+    planning, metrics = group.planning()
+    asyncio.run(planning.run_pass())
+    assert [type(r).__name__ for r in group.requests] == [
+        "SchedulerSync",
+        "PlaceTasks",
+    ]
+    assert planning.is_ready()
+    text = metrics.render().decode()
+    assert 'code="worker-full"' in text
+    assert planning.dump()["unplaceable"][0].job_id == "huge"
+
+
+@pytest.mark.parametrize(
+    ("reply", "code"),
+    [
+        (GroupUnavailableError("No leader."), "group-unavailable"),
+        (Accepted(), "invalid-message"),
+        (Refused(code="x", text="y"), "invalid-message"),
+    ],
+)
+def test_failed_pass_does_not_end_the_loop(
+    reply: Reply | SardinespoolError, code: str
+) -> None:
+    """Guards against a scheduler that dies with its group's leader."""
+    group = FakeGroup(reply)
+    planning, _ = group.planning()
+    asyncio.run(planning.run_pass())
+    assert not planning.is_ready()
+    assert planning.dump()["failure_code"] == code
+    group.sync_reply = a_view()
+    asyncio.run(planning.run_pass())
+    assert planning.is_ready()
+    group.boot_ms += READY_AGE_MS + 1
+    assert not planning.is_ready()
+
+
+def test_loop_ends_when_it_is_told_to_stop() -> None:
+    """Guards against SIGTERM that waits for the next interval."""
+    group = FakeGroup(a_view())
+    planning, _ = group.planning()
+
+    async def run() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.create_task(planning.run(stopping))
+        await group.called.wait()
+        stopping.set()
+        await loop
+
+    asyncio.run(run())
+    assert len(group.requests) == 2
+
+
+def test_requests_group_by_reason_and_place_last() -> None:
+    """Guards against one log entry for each task."""
+    plan = Plan(
+        placements=PlacementPolicy(
+            PolicySettings(disabled=frozenset({"ramp"})), 1
+        )
+        .plan(a_view())
+        .placements,
+        evictions=tuple(Eviction(f"e{n}", "r") for n in range(3)),
+        throttles=(Throttle(task_id="t", share=0.5),),
+        failures=(TaskFailure("f1", "x"), TaskFailure("f2", "y")),
+    )
+    names = [type(r).__name__ for r in requests_of(plan, "s1")]
+    assert names == [
+        "FailTasks",
+        "FailTasks",
+        "EvictTasks",
+        "ThrottleTasks",
+        "PlaceTasks",
+    ]
--- a/testing/settings/test_loading.py
+++ b/testing/settings/test_loading.py
@@ -153,6 +153,8 @@
         (EntrySettings, "retry_share", 1.5, "retry_share"),
         (SchedulerSettings, "failure_domain", "norte", "failure_domain"),
         (SchedulerSettings, "interval_ms", -1, "interval_ms"),
+        (SchedulerSettings, "throttle_above", 1.0, "throttle_above"),
+        (SchedulerSettings, "throttle_above", 4.0, "throttle_above"),
         (OperatorSettings, "entries", [], "entries"),
         (OperatorSettings, "entries.0", "127.0.0.1:x", "entries[0]"),
         (OperatorSettings, "token", "a\nb", "token"),
