--- a/src/sardinespool/configuration/history.py
+++ b/src/sardinespool/configuration/history.py
@@ -206,12 +206,18 @@
     ) -> PatchReceipt:
         version = self.configuration.version + 1
         values: dict[str, Any] = dict(self.configuration.values)
+        domain_versions = dict(self.configuration.domain_versions)
         for change in record.changes:
+            section, _, name = change.key.partition("/")
+            if section == "failure_domains":
+                domain_versions[name] = version
             if change.op == "set":
                 values[change.key] = change.value
             else:
                 values.pop(change.key, None)
-        self.configuration = Configuration(version=version, values=values)
+        self.configuration = Configuration(
+            version=version, values=values, domain_versions=domain_versions
+        )
         receipt = msgspec.structs.replace(
             record.receipt, state="approved", version=version
         )
--- a/src/sardinespool/domains/starts.py
+++ b/src/sardinespool/domains/starts.py
@@ -9,8 +9,8 @@
 class StartRestriction(Record, frozen=True, kw_only=True):
     """A stop of task starts by a local operator.
 
-    It ends with a configuration version above `version`, the one in force
-    at the restriction, that has the failure domain in service.
+    It ends with a configuration version that sets the failure domain in
+    service and is above `version`, the one in force at the restriction.
     """
 
     operator: str
@@ -37,7 +37,8 @@
     """Return the restriction that remains once a version is in force."""
     if (
         restriction is not None
-        and configuration.version > restriction.version
+        and configuration.domain_versions.get(failure_domain, 0)
+        > restriction.version
         and is_in_service(configuration, failure_domain)
     ):
         return None
--- a/src/sardinespool/groups/domain_machine.py
+++ b/src/sardinespool/groups/domain_machine.py
@@ -1,9 +1,11 @@
 """Replicated state of one failure domain."""
 
+from sardinespool.clock import CLOCK_ERROR_MS
 from sardinespool.domains.starts import after_version
 from sardinespool.domains.starts import is_in_service
 from sardinespool.domains.starts import StartRestriction
 from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.errors.transport import NotReadyError
 from sardinespool.groups import domain_tasks
 from sardinespool.groups.domain_state import decode_state
 from sardinespool.groups.domain_state import DomainState
@@ -12,6 +14,7 @@
 from sardinespool.messages.commands import AcceptJobs
 from sardinespool.messages.commands import AdoptConfiguration
 from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import ConfirmGroup
 from sardinespool.messages.commands import DenyTasks
 from sardinespool.messages.commands import ExpireRecords
 from sardinespool.messages.commands import FormGroup
@@ -32,6 +35,7 @@
 from sardinespool.messages.tasks import RestrictStarts
 from sardinespool.messages.tasks import ThrottleTasks
 from sardinespool.requests.keys import check_key
+from sardinespool.requests.keys import parse_key
 from sardinespool.requests.record import RETENTION_MS
 from sardinespool.requests.table import RequestTable
 from sardinespool.tasks import jobs
@@ -59,6 +63,9 @@
         Set while a local operator stops starts.
     known_job_sequence : int
         Sequence of the last job change taken.
+    reformed, confirmed : bool
+        Whether an earlier group of the domain lost all its disks, and
+        whether the global group has been asked about it.
     """
 
     def __init__(self, failure_domain: str) -> None:
@@ -66,6 +73,7 @@
         self.group_incarnation = ""
         self.formed_unix_ms = 0
         self.reformed = False
+        self.confirmed = False
         self.configuration = Configuration()
         self.restriction: StartRestriction | None = None
         self.known_job_sequence = 0
@@ -84,6 +92,9 @@
         match command.body:
             case FormGroup() as body:
                 self._form(body, now_unix_ms)
+            case ConfirmGroup(reformed=reformed):
+                self.confirmed = True
+                self.reformed = self.reformed or reformed
             case AdoptConfiguration() as body:
                 self._adopt(body.configuration)
             case RestrictStarts() as body:
@@ -149,6 +160,7 @@
             group_incarnation=self.group_incarnation,
             formed_unix_ms=self.formed_unix_ms,
             reformed=self.reformed,
+            confirmed=self.confirmed,
             configuration=self.configuration,
             restriction=self.restriction,
             known_job_sequence=self.known_job_sequence,
@@ -172,6 +184,7 @@
         self.group_incarnation = state.group_incarnation
         self.formed_unix_ms = state.formed_unix_ms
         self.reformed = state.reformed
+        self.confirmed = state.confirmed
         self.configuration = state.configuration
         self.restriction = state.restriction
         self.known_job_sequence = state.known_job_sequence
@@ -194,15 +207,27 @@
         )
         if reply is not None:
             return reply
-        if (
-            self.reformed
-            and not request.group_incarnation
-            and now_unix_ms < self.formed_unix_ms + RETENTION_MS
-        ):
+        if request.group_incarnation or self._made_since_formation(request):
+            return None
+        if not self.reformed and not self.confirmed:
+            # Only the global group knows whether an earlier group was lost.
+            return Refused(
+                code=NotReadyError.code,
+                text="The group has not reached the global group yet.",
+            )
+        if self.reformed and now_unix_ms < self.formed_unix_ms + RETENTION_MS:
             # The lost incarnation may have held a record of this key.
             return BeginReply(state="unknown")
         return None
 
+    def _made_since_formation(self, request: BeginRequest) -> bool:
+        key = parse_key(request.key)
+        return (
+            key is not None
+            and key.failure_domain == self.failure_domain
+            and key.generated_unix_ms > self.formed_unix_ms + CLOCK_ERROR_MS
+        )
+
     def _form(self, body: FormGroup, now_unix_ms: int) -> None:
         if self.group_incarnation:
             return
--- a/src/sardinespool/groups/domain_state.py
+++ b/src/sardinespool/groups/domain_state.py
@@ -18,6 +18,7 @@
     group_incarnation: str
     formed_unix_ms: int
     reformed: bool
+    confirmed: bool
     configuration: Configuration
     restriction: StartRestriction | None
     known_job_sequence: int
--- a/src/sardinespool/groups/domain_sync.py
+++ b/src/sardinespool/groups/domain_sync.py
@@ -4,6 +4,7 @@
 from sardinespool.messages.commands import AcceptJobs
 from sardinespool.messages.commands import AdoptConfiguration
 from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.commands import ConfirmGroup
 from sardinespool.messages.commands import JobsRecorded
 from sardinespool.messages.configuration import ProcessVersion
 from sardinespool.messages.jobs import DomainSync
@@ -36,6 +37,8 @@
     back.
     """
     commands: list[CommandBody] = []
+    if not machine.confirmed:
+        commands.append(ConfirmGroup(reformed=reply.reformed))
     if (
         reply.configuration is not None
         and reply.configuration.version > machine.configuration.version
--- a/src/sardinespool/groups/global_service.py
+++ b/src/sardinespool/groups/global_service.py
@@ -153,6 +153,7 @@
             start_permit_deadline_unix_ms=start_permit_deadline_unix_ms(
                 self._machine.in_service(request.failure_domain), now
             ),
+            reformed=bool(domain.retired_incarnations),
             job_changes=self._job_changes(domain, request, now),
             recorded_finished_jobs=tuple(
                 job_id
@@ -198,13 +199,16 @@
         )
 
     def _configuration_status(self) -> ConfigurationStatusReply:
+        # A domain that is cut off since this leader serves has no report; it
+        # is listed, so that operators can take it out.
         return ConfigurationStatusReply(
             version=self._machine.history.configuration.version,
             domains=tuple(
                 msgspec.structs.replace(
-                    status, in_service=self._machine.in_service(name)
+                    self._statuses.get(name, _unreported(name)),
+                    in_service=self._machine.in_service(name),
                 )
-                for name, status in sorted(self._statuses.items())
+                for name in sorted(self._machine.job_homes.domains)
             ),
         )
 
@@ -219,3 +223,12 @@
                 }
             )
         )
+
+
+def _unreported(failure_domain: str) -> DomainStatus:
+    return DomainStatus(
+        failure_domain=failure_domain,
+        version=0,
+        reported_unix_ms=0,
+        in_service=True,
+    )
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -38,6 +38,12 @@
     reformed: bool = False
 
 
+class ConfirmGroup(Message, frozen=True, kw_only=True):
+    """The global group tells whether the domain had an earlier group."""
+
+    reformed: bool
+
+
 class AdoptConfiguration(Message, frozen=True, kw_only=True):
     """Put a configuration version in force in a failure domain."""
 
@@ -89,6 +95,7 @@
 
 CommandBody = (
     FormGroup
+    | ConfirmGroup
     | SubmitPatch
     | ApprovePatch
     | RejectPatch
--- a/src/sardinespool/messages/configuration.py
+++ b/src/sardinespool/messages/configuration.py
@@ -72,10 +72,15 @@
 
 
 class Configuration(Message, frozen=True, kw_only=True):
-    """One approved version with all its values."""
+    """One approved version with all its values.
+
+    `domain_versions` names the version that last changed each failure
+    domain's key.
+    """
 
     version: int = 0
     values: dict[str, Any] = {}
+    domain_versions: dict[str, int] = {}
 
 
 class ListVersions(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/messages/jobs.py
+++ b/src/sardinespool/messages/jobs.py
@@ -122,12 +122,14 @@
     """Configuration, start permit and job changes for a failure domain.
 
     `configuration` is None when the domain has the current version.
+    `reformed` tells that an earlier group of the domain lost all its disks.
     `start_permit_deadline_unix_ms` is 0 when no task may start.
     """
 
     version: int
     configuration: Configuration | None
     start_permit_deadline_unix_ms: int
+    reformed: bool = False
     job_changes: tuple[JobChange, ...] = ()
     recorded_finished_jobs: tuple[str, ...] = ()
     recorded_released_jobs: tuple[ReleaseId, ...] = ()
--- a/src/sardinespool/programs/command_line/main.py
+++ b/src/sardinespool/programs/command_line/main.py
@@ -1,9 +1,11 @@
 """Program ``sardinespool``: the command line of operators and approvers."""
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import typer
 
+import sardinespool
 from sardinespool.programs.command_line import views
 from sardinespool.programs.command_line.jobs import jobs_app
 from sardinespool.programs.command_line.patches import domains_app
@@ -35,6 +37,27 @@
     app.command()(_command)
 
 
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"sardinespool {sardinespool.__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def _options(
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=_print_version,
+            is_eager=True,
+            help="Print the version and exit.",
+        ),
+    ] = False,
+) -> None:
+    """Take the options that come before a command."""
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run one command and exit with its code."""
     app(list(arguments) if arguments is not None else None)
--- a/src/sardinespool/programs/command_line/patches.py
+++ b/src/sardinespool/programs/command_line/patches.py
@@ -5,6 +5,7 @@
 import msgspec
 import typer
 
+from sardinespool.errors.tasks import NoFailureDomainError
 from sardinespool.messages.configuration import Change
 from sardinespool.messages.configuration import ConfigurationStatusReply
 from sardinespool.messages.configuration import PatchList
@@ -15,6 +16,7 @@
 from sardinespool.programs.command_line.session import DEFAULT_SETTINGS_FILE
 from sardinespool.programs.command_line.session import open_session
 from sardinespool.programs.command_line.session import reports_errors
+from sardinespool.programs.command_line.session import Session
 from sardinespool.programs.command_line.session import SettingsFile
 
 patch_app = typer.Typer(
@@ -147,6 +149,22 @@
         patch_changes.print_diff(session, base, current, changes)
 
 
+def _check_domain(session: Session, domain: str) -> None:
+    """Refuse a name that no group has reported under.
+
+    The configuration takes any name, so a misspelt one would be approved and
+    have no effect. The first patch of a failure domain that has not reported
+    yet goes through ``patch submit``.
+    """
+    answer = session.client.get("status")
+    status = msgspec.convert(answer, ConfigurationStatusReply)
+    known = [each.failure_domain for each in status.domains]
+    if domain not in known:
+        raise NoFailureDomainError(
+            f"no failure domain {domain} has reported", known=known
+        )
+
+
 def _set_state(
     domain: str,
     state: str,
@@ -159,6 +177,7 @@
         op="set", key=f"failure_domains/{domain}", value={"state": state}
     )
     with open_session(settings, as_json) as session:
+        _check_domain(session, domain)
         patch_changes.submit(session, patch_id, base, (change,))
 
 
--- a/src/sardinespool/programs/daemon.py
+++ b/src/sardinespool/programs/daemon.py
@@ -68,8 +68,7 @@
     try:
         settings = load_settings(options.settings, settings_type)
     except SettingsError as error:
-        for problem in error.details.get("problems", [error.text]):
-            print(problem, file=sys.stderr)
+        print(error.text, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     if options.check_settings:
         print(f"{options.settings}: settings are valid.")
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -240,12 +240,27 @@
         }
 
     def _ready(self) -> ProbeResult:
-        leaders = {
-            group: runner.status.leader
-            for group, runner in self._runners.items()
+        statuses = {
+            group: runner.status for group, runner in self._runners.items()
         }
-        ok = not self._stopping.is_set() and all(leaders.values())
-        return ProbeResult(ok, {"leaders": leaders})
+        # A member that started from an old copy of its folder knows a leader
+        # but gets no entry from it.
+        follows = all(
+            status.leader and status.commit_index
+            for status in statuses.values()
+        )
+        return ProbeResult(
+            follows and not self._stopping.is_set(),
+            {
+                "leaders": {
+                    group: status.leader for group, status in statuses.items()
+                },
+                "commit_indexes": {
+                    group: status.commit_index
+                    for group, status in statuses.items()
+                },
+            },
+        )
 
     async def _dump(self) -> dict[str, Any]:
         dump: dict[str, Any] = {"name": self._settings.name, "groups": {}}
--- a/src/sardinespool/transport/rpc_client.py
+++ b/src/sardinespool/transport/rpc_client.py
@@ -10,6 +10,7 @@
 from sardinespool.errors.replication import ReplicationError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
+from sardinespool.errors.transport import NotReadyError
 from sardinespool.messages import codec
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
@@ -20,6 +21,17 @@
 ATTEMPT_TIMEOUT_MS = 1_500
 ROUND_DELAY_MS = 50
 
+RETRIED_ERRORS = (
+    ReplicationError,
+    ConnectionLostError,
+    CallTimeoutError,
+    NotReadyError,
+)
+"""Errors of one member; another one may serve the request.
+
+`NotReadyError` comes from a member that is stopping.
+"""
+
 
 class GroupClient:
     """Finds the leader of a group and resends until the deadline.
@@ -76,7 +88,7 @@
                 return _reply_of(data)
             except NotLeaderError as error:
                 self._follow(name, str(error.details.get("leader", "")))
-            except (ReplicationError, ConnectionLostError, CallTimeoutError):
+            except RETRIED_ERRORS:
                 self._follow(name, "")
             failures += 1
             if failures % len(self._names) == 0:
--- a/testing/command_line/test_command_line.py
+++ b/testing/command_line/test_command_line.py
@@ -223,6 +223,7 @@
         ("patch submit --set a=1 --dry-run --base 3", 1),
         ("status --wait 5 --timeout-s 0", 1),
         ("jobs wait j9", 1),
+        ("domains drain surr", 1),
     ],
 )
 def test_exit_code(arguments: str, code: int, run: Run) -> None:
@@ -231,6 +232,23 @@
         assert run([entry.address], *arguments.split()).code == code
 
 
+@pytest.mark.parametrize("command", ["drain", "return"])
+def test_unknown_domain_is_refused(command: str, run: Run) -> None:
+    """Guards against an approved patch for a misspelt failure domain."""
+    with serve(fake()) as entry:
+        result = run([entry.address], "domains", command, "surr")
+        assert "no-failure-domain" in result.err
+        assert entry.posted("patches") == []
+
+
+def test_version(capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against a version that only works beside a command."""
+    with pytest.raises(SystemExit) as caught:
+        main(["--version"])
+    assert not caught.value.code
+    assert capsys.readouterr().out.startswith("sardinespool 0.")
+
+
 def test_bad_settings(tmp_path: pathlib.Path) -> None:
     """Guards against bad settings that look like a refusal."""
     file = tmp_path / "operator.yaml"
--- a/testing/configuration/test_history.py
+++ b/testing/configuration/test_history.py
@@ -168,6 +168,14 @@
     assert receipt.state == state
 
 
+def test_version_of_each_failure_domain_is_known() -> None:
+    """Guards against an unrelated version that lifts a restriction."""
+    history = History()
+    approve(history, submit(history, "p0", change=DRAIN))
+    approve(history, submit(history, "p1", base=1))
+    assert history.configuration.domain_versions == {"norte": 1}
+
+
 def test_rejected_patch_stays_closed() -> None:
     """Guards against the approval of a rejected patch."""
     history = History()
--- a/testing/groups/domain_support.py
+++ b/testing/groups/domain_support.py
@@ -12,6 +12,7 @@
 from sardinespool.messages.commands import AdoptConfiguration
 from sardinespool.messages.commands import Command
 from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.commands import ConfirmGroup
 from sardinespool.messages.commands import FormGroup
 from sardinespool.messages.configuration import Configuration
 from sardinespool.messages.jobs import DomainSync
@@ -58,12 +59,14 @@
 class Group:
     """A domain group whose proposals commit at once."""
 
-    def __init__(self, **form: Any) -> None:
+    def __init__(self, confirmed: bool = True, **form: Any) -> None:
         self.now = Instant(0, START_UNIX_MS)
         self.machine = DomainMachine(DOMAIN)
         self.service = DomainService(self.machine, DOMAIN, 3)
         self._sequence = 0
         self.apply(FormGroup(group_incarnation="g1", **form))
+        if confirmed:
+            self.apply(ConfirmGroup(reformed=False))
         self.service.become_leader(self.now)
 
     def apply(self, body: CommandBody) -> Reply:
@@ -93,9 +96,16 @@
     def configure(self, version: int, **values: Any) -> None:
         """Put a version in force; ``_`` separates section and name."""
         keys = {key.replace("__", "/"): value for key, value in values.items()}
+        domains = {
+            key.removeprefix("failure_domains/"): version
+            for key in keys
+            if key.startswith("failure_domains/")
+        }
         self.apply(
             AdoptConfiguration(
-                configuration=Configuration(version=version, values=keys)
+                configuration=Configuration(
+                    version=version, values=keys, domain_versions=domains
+                )
             )
         )
 
--- a/testing/groups/test_domain_machine.py
+++ b/testing/groups/test_domain_machine.py
@@ -215,20 +215,26 @@
 
 
 @pytest.mark.parametrize(
-    ("version", "state", "code"),
-    [(1, IN, "restricted"), (2, IN, ""), (2, OUT, "out-of-service")],
+    ("version", "values", "code"),
+    [
+        (1, {"failure_domains__centro": IN}, "restricted"),
+        (2, {"failure_domains__centro": IN}, ""),
+        (2, {"failure_domains__centro": OUT}, "out-of-service"),
+        (2, {"failure_domains__norte": IN}, "restricted"),
+        (2, {"limits__x": 3}, "restricted"),
+    ],
 )
 def test_restriction_ends_with_a_newer_version(
-    version: int, state: dict[str, str], code: str
+    version: int, values: dict[str, Any], code: str
 ) -> None:
-    """Guards against an old version that lifts a local restriction (R4)."""
+    """Guards against an old or unrelated version that lifts it (R4)."""
     group = Group()
     group.configure(1)
     group.add_job()
     group.call(heartbeat())
     group.call(RestrictStarts(operator="ana"))
     assert group.place(place("j/0")) == ("restricted",)
-    group.configure(version, failure_domains__centro=state)
+    group.configure(version, **values)
     assert group.place(place("j/0")) == (code,)
 
 
--- a/testing/groups/test_domain_requests.py
+++ b/testing/groups/test_domain_requests.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from sardinespool.messages.commands import ConfirmGroup
+from sardinespool.messages.commands import Refused
 from sardinespool.messages.requests import BeginReply
 from sardinespool.messages.requests import BeginRequest
 from testing.groups.domain_support import Group
@@ -19,11 +21,17 @@
         (True, True, 0, "granted"),
     ],
 )
+@pytest.mark.parametrize("told_by", ["settings", "global group"])
 def test_callers_keys_after_a_loss_of_all_disks(
-    reformed: bool, generated: bool, elapsed_ms: int, state: str
+    reformed: bool,
+    generated: bool,
+    elapsed_ms: int,
+    state: str,
+    told_by: str,
 ) -> None:
     """Guards against a second run after the records were lost (R7)."""
-    group = Group(reformed=reformed)
+    group = Group(confirmed=False, reformed=reformed and told_by == "settings")
+    group.apply(ConfirmGroup(reformed=reformed))
     group.advance(elapsed_ms)
     key = f"centro.g1.{group.now.unix_ms}.0123456789abcdef"
     request = BeginRequest(
@@ -35,3 +43,36 @@
         group_incarnation="g1" if generated else "",
     )
     assert group.call(request) == BeginReply(state=state)  # type: ignore[arg-type]
+
+
+def test_unconfirmed_group_refuses_callers_own_keys() -> None:
+    """Guards against a re-formed group that takes itself for the first."""
+    group = Group(confirmed=False)
+    request = BeginRequest(
+        key="booking",
+        body_digest="d",
+        entry_id="e",
+        attempt_id="a",
+        send_deadline_unix_ms=group.now.unix_ms + 1_000,
+    )
+    reply = group.call(request)
+    assert isinstance(reply, Refused)
+    assert reply.code == "not-ready"
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "state"), [(0, "unknown"), (-10_000, "granted")]
+)
+def test_foreign_key_made_after_the_formation(age_ms: int, state: str) -> None:
+    """Guards against new keys that wait a day for a re-formed group."""
+    group = Group(reformed=True)
+    made_unix_ms = group.now.unix_ms - age_ms
+    group.advance(10_000)
+    request = BeginRequest(
+        key=f"centro.0.{made_unix_ms}.0123456789abcdef",
+        body_digest="d",
+        entry_id="e",
+        attempt_id="a",
+        send_deadline_unix_ms=group.now.unix_ms + 1_000,
+    )
+    assert group.call(request) == BeginReply(state=state)  # type: ignore[arg-type]
--- a/testing/groups/test_global.py
+++ b/testing/groups/test_global.py
@@ -13,6 +13,7 @@
 from sardinespool.messages.commands import Command
 from sardinespool.messages.configuration import ApprovePatch
 from sardinespool.messages.configuration import Change
+from sardinespool.messages.configuration import ConfigurationStatus
 from sardinespool.messages.configuration import SubmitPatch
 from sardinespool.messages.jobs import CancelJob
 from sardinespool.messages.jobs import DomainSync
@@ -226,3 +227,13 @@
         Job(job_id="next", team="office"), {"centro", "sur"}
     )
     assert homes == submit(group, "next")
+
+
+def test_domain_without_report_is_listed() -> None:
+    """Guards against a cut-off domain that can't be taken out."""
+    group = Group()
+    group.service.become_leader(group.now)
+    group.sync("sur", known_version=4)
+    status = group.call(ConfigurationStatus())
+    versions = {each.failure_domain: each.version for each in status.domains}
+    assert versions == {"centro": 0, "norte": 0, "sur": 4}
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -10,11 +10,13 @@
 
 import pytest
 
+from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import GroupUnavailableError
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.tasks import JobNotFoundError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import FrameError
+from sardinespool.errors.transport import NotReadyError
 from sardinespool.groups.refusal import refused
 from sardinespool.messages import codec
 from sardinespool.messages.configuration import Configuration
@@ -155,9 +157,16 @@
     assert handler.calls == 0
 
 
-def test_client_follows_the_leader_hint() -> None:
-    """Guards against a client that stays with a former leader."""
-    follower = Handler([NotLeaderError("No.", leader="b")])
+@pytest.mark.parametrize(
+    "error",
+    [NotLeaderError("No.", leader="b"), NotReadyError("Stopping.")],
+)
+def test_client_moves_on_to_the_leader(error: SardinespoolError) -> None:
+    """Guards against a client that stays with a former leader.
+
+    A stopping member made answers of finished requests unknown (R9).
+    """
+    follower = Handler([error])
     leader = Handler([])
 
     async def use(addresses: list[str]) -> None:
