Restart stores in turn under bookings in the demonstration

Cause: the planned stop of a leading store had made answered requests unknown; the mend had no run under load yet. Change: a step that restarts the three stores of a domain with SIGTERM while six callers book in a loop; every answered booking must have run once by the workers' records, and no request may end as unknown. Ruled out: seat checks only, which need no store.

--- a/demo/run_demo.py
+++ b/demo/run_demo.py
@@ -21,6 +21,7 @@
 from demo import steps_end
 from demo import steps_failures
 from demo import steps_requests
+from demo import steps_restarts
 from demo.caller import Caller
 from demo.context import Demo
 from demo.processes import ProcessSet
@@ -48,6 +49,7 @@
         "store and entry killed",
         steps_failures.killed_processes_are_replaced,
     ),
+    ("stores restarted", steps_restarts.stores_restart_in_turn),
     ("state dumps", steps_end.dumps_are_fetched),
     ("entry stopped", steps_end.entry_stops_gracefully),
     ("all stopped", steps_end.everything_stops_gracefully),
