--- a/src/sardinespool/errors/transport.py
+++ b/src/sardinespool/errors/transport.py
@@ -13,6 +13,12 @@
     """A frame is malformed or over the size limit."""
 
 
+class ReplyTooLargeError(TransportError):
+    """The reply would exceed the frame limit."""
+
+    http_status = 500
+
+
 class AuthenticationError(TransportError):
     """The credential is missing or wrong."""
 
--- a/src/sardinespool/groups/domain_views.py
+++ b/src/sardinespool/groups/domain_views.py
@@ -6,6 +6,7 @@
 from sardinespool.messages.capacity import EntrySync
 from sardinespool.messages.capacity import EntryView
 from sardinespool.messages.capacity import SlotGrant
+from sardinespool.messages.jobs import Job
 from sardinespool.messages.tasks import ListTasks
 from sardinespool.messages.tasks import PlacementResult
 from sardinespool.messages.tasks import PlaceTasks
@@ -16,6 +17,8 @@
 from sardinespool.messages.tasks import WorkerView
 from sardinespool.tasks.leases import LeaseTable
 from sardinespool.tasks.observations import Observations
+from sardinespool.tasks.queue_window import queue_window
+from sardinespool.tasks.views import planning_view
 from sardinespool.tasks.views import task_view
 from sardinespool.tasks.views import worker_view
 
@@ -51,7 +54,9 @@
 ) -> SchedulingView:
     """Return the tasks that have not ended, the workers and the quotas."""
     table = machine.tasks
-    open_tasks = table.in_state("queued", "placed", "running", "stopping")
+    open_tasks = table.in_state("placed", "running", "stopping")
+    open_tasks += queue_window(table, now_unix_ms)
+    jobs: dict[str, Job] = {}
     return SchedulingView(
         failure_domain=machine.failure_domain,
         in_service=machine.in_service,
@@ -67,7 +72,7 @@
             if key.startswith("teams/") and isinstance(value, dict)
         },
         tasks=tuple(
-            task_view(table, task, observations.usage_of(task))
+            planning_view(table, task, observations.usage_of(task), jobs)
             for task in open_tasks
         ),
         workers=worker_views(machine, leases, observations),
--- a/src/sardinespool/groups/global_service.py
+++ b/src/sardinespool/groups/global_service.py
@@ -39,6 +39,9 @@
 from sardinespool.messages.jobs import SyncDomain
 
 JOB_CHANGES_PER_REPLY = 500
+PAYLOAD_BYTES_PER_REPLY = 1_048_576
+"""Keeps a reply well below the frame limit of 8 MiB."""
+
 ACKNOWLEDGED_CHANGES_KEPT = 100
 """Acknowledged changes that may wait before one command drops them."""
 
@@ -180,6 +183,12 @@
             for change in domain.changes
             if change.sequence > request.known_job_sequence
         )
+        payload_bytes = 0
+        for position, change in enumerate(pending[:JOB_CHANGES_PER_REPLY]):
+            payload_bytes += _payload_bytes(change)
+            # The first change always goes, or the domain would never get on.
+            if position and payload_bytes > PAYLOAD_BYTES_PER_REPLY:
+                return pending[:position]
         return pending[:JOB_CHANGES_PER_REPLY]
 
     def _is_recorded_finished(self, job_id: str, failure_domain: str) -> bool:
@@ -225,6 +234,11 @@
         )
 
 
+def _payload_bytes(change: JobChange) -> int:
+    size = sum(len(task.checkpoint) for task in change.transfers)
+    return size if change.job is None else size + len(change.job.payload)
+
+
 def _unreported(failure_domain: str) -> DomainStatus:
     return DomainStatus(
         failure_domain=failure_domain,
--- a/src/sardinespool/messages/tasks.py
+++ b/src/sardinespool/messages/tasks.py
@@ -63,10 +63,11 @@
     tasks: tuple[TaskReport, ...] = ()
 
 
-class TaskDirective(Record, frozen=True, kw_only=True):
+class TaskDirective(Record, frozen=True, kw_only=True, omit_defaults=True):
     """Desired state of one task on a worker.
 
-    The worker refuses a first start after `start_deadline_unix_ms`.
+    The worker refuses a first start after `start_deadline_unix_ms`. The
+    fields for the start are left out once the worker lists the attempt.
     `throttle_share` is the share of the reserved processors that the task
     may use.
     """
--- a/src/sardinespool/tasks/heartbeats.py
+++ b/src/sardinespool/tasks/heartbeats.py
@@ -88,14 +88,21 @@
             action="stop" if stop else "checkpoint",
             throttle_share=task.throttle_share,
         )
-    # A worker that lists the attempt has its payload and checkpoint.
+    if listed:
+        # The worker has everything that it needed for the start.
+        return TaskDirective(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            action="run",
+            throttle_share=task.throttle_share,
+        )
     return TaskDirective(
         task_id=task.task_id,
         attempt=task.attempt,
         action="run",
         start_deadline_unix_ms=task.start_deadline_unix_ms,
-        checkpoint="" if listed else task.checkpoint,
-        payload="" if listed else table.jobs[task.job_id].job.payload,
+        checkpoint=task.checkpoint,
+        payload=table.jobs[task.job_id].job.payload,
         throttle_share=task.throttle_share,
         processors_millicores=task.reserved_processors_millicores,
         memory_mb=task.reserved_memory_mb,
--- a/src/sardinespool/tasks/jobs.py
+++ b/src/sardinespool/tasks/jobs.py
@@ -19,6 +19,12 @@
 from sardinespool.tasks.record import TaskRecord
 from sardinespool.tasks.table import TaskTable
 
+RELEASED_BYTES_PER_REPORT = 1_048_576
+"""Keeps a report well below the frame limit of 8 MiB."""
+
+TRANSFER_BYTES = 80
+"""Encoded length of a transfer without its checkpoint, about."""
+
 
 def _first_record(
     job: Job, number: int, transfer: TaskTransfer | None, now_unix_ms: int
@@ -102,15 +108,26 @@
 
 
 def released_jobs(table: TaskTable) -> tuple[ReleasedJob, ...]:
-    """Return the released jobs that the global group has not recorded."""
-    return tuple(
-        ReleasedJob(
-            job_id=job_id,
-            assign_sequence=table.jobs[job_id].assign_sequence,
-            tasks=tuple(_transfer(task) for task in table.of_job(job_id)),
+    """Return released jobs that the global group has not recorded.
+
+    As many as fit into `RELEASED_BYTES_PER_REPORT`, but at least one; the
+    others follow once these are recorded.
+    """
+    released: list[ReleasedJob] = []
+    size = 0
+    for job_id in sorted(table.released_jobs):
+        tasks = tuple(_transfer(task) for task in table.of_job(job_id))
+        size += sum(TRANSFER_BYTES + len(task.checkpoint) for task in tasks)
+        if released and size > RELEASED_BYTES_PER_REPORT:
+            break
+        released.append(
+            ReleasedJob(
+                job_id=job_id,
+                assign_sequence=table.jobs[job_id].assign_sequence,
+                tasks=tasks,
+            )
         )
-        for job_id in sorted(table.released_jobs)
-    )
+    return tuple(released)
 
 
 def _transfer(task: TaskRecord) -> TaskTransfer:
--- a/src/sardinespool/tasks/views.py
+++ b/src/sardinespool/tasks/views.py
@@ -1,5 +1,8 @@
 """Tasks and workers as schedulers and operators see them."""
 
+import msgspec
+
+from sardinespool.messages.jobs import Job
 from sardinespool.messages.tasks import TaskReport
 from sardinespool.messages.tasks import TaskView
 from sardinespool.messages.tasks import WorkerView
@@ -38,6 +41,30 @@
     )
 
 
+def planning_view(
+    table: TaskTable,
+    task: TaskRecord,
+    usage: TaskReport | None,
+    jobs: dict[str, Job],
+) -> TaskView:
+    """Return a view without payload and checkpoint.
+
+    A scheduler needs neither, and they can be larger than all the rest.
+
+    Parameters
+    ----------
+    jobs : dict of str to Job
+        Jobs without payload by id; filled here, shared by one view.
+    """
+    job = jobs.get(task.job_id)
+    if job is None:
+        full = table.jobs[task.job_id].job
+        job = msgspec.structs.replace(full, payload="")
+        jobs[task.job_id] = job
+    view = task_view(table, task, usage)
+    return msgspec.structs.replace(view, job=job, checkpoint="")
+
+
 def worker_view(
     worker: WorkerRecord,
     failure_domain: str,
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -1,6 +1,7 @@
 """Listener for other processes of the deployment."""
 
 import asyncio
+import dataclasses
 import hmac
 import socket
 import ssl
@@ -12,6 +13,10 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import AuthenticationError
 from sardinespool.errors.transport import ConnectionLostError
+from sardinespool.errors.transport import FrameError
+from sardinespool.errors.transport import ReplyTooLargeError
+from sardinespool.groups.refusal import refused
+from sardinespool.messages import codec
 from sardinespool.settings.addresses import split_address
 from sardinespool.transport.frame_stream import FrameStream
 from sardinespool.transport.frames import Frame
@@ -123,10 +128,17 @@
         body = await self._handler.handle_call(
             frame.group, frame.body, frame.deadline_unix_ms
         )
+        reply = Frame(kind=FrameKind.REPLY, call_id=frame.call_id, body=body)
         try:
-            frames.write(
-                Frame(kind=FrameKind.REPLY, call_id=frame.call_id, body=body)
-            )
+            try:
+                frames.write(reply)
+            except FrameError:
+                # A caller without an answer would resend the call for ever.
+                error = ReplyTooLargeError(
+                    "The reply exceeds the frame limit.", bytes=len(body)
+                )
+                refusal = codec.encode(refused(error))
+                frames.write(dataclasses.replace(reply, body=refusal))
         except ConnectionLostError:
             # The caller resends over another connection.
             return
--- a/testing/groups/test_global.py
+++ b/testing/groups/test_global.py
@@ -237,3 +237,18 @@
     status = group.call(ConfigurationStatus())
     versions = {each.failure_domain: each.version for each in status.domains}
     assert versions == {"centro": 0, "norte": 0, "sur": 4}
+
+
+def test_large_jobs_are_handed_out_in_parts() -> None:
+    """Guards against a reply over the frame limit, which was never sent."""
+    group = Group()
+    for number in range(60):
+        submit(group, f"j{number}", failure_domain="sur", payload="x" * 60_000)
+    known = 0
+    rounds = 0
+    while known < 60:
+        changes = group.sync("sur", known_job_sequence=known).job_changes
+        assert 0 < len(changes) <= 18
+        known = changes[-1].sequence
+        rounds += 1
+    assert rounds == 4
--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -211,9 +211,12 @@
         "keep-sending-to-leaving",
         ("R8",),
         {
+            "routing.endpoint_table:EndpointTable.accepts": change.instead(
+                lambda self, worker_id: True
+            ),
             "routing.endpoint_state:EndpointState.is_usable": change.instead(
                 lambda self, now: now.boot_ms >= self.refused_until_boot_ms
-            )
+            ),
         },
     ),
     Mutation(
--- /dev/null
+++ b/testing/tasks/test_queue_window.py
@@ -0,0 +1,52 @@
+"""Queued tasks of a scheduling view."""
+
+import pytest
+
+from sardinespool.messages.jobs import Job
+from sardinespool.tasks.job_record import JobRecord
+from sardinespool.tasks.queue_window import FIRST_TASKS
+from sardinespool.tasks.queue_window import queue_window
+from sardinespool.tasks.queue_window import ROTATING_TASKS
+from sardinespool.tasks.record import TaskRecord
+from sardinespool.tasks.table import TaskTable
+
+
+def table_of(*jobs: Job) -> TaskTable:
+    table = TaskTable()
+    for job in jobs:
+        table.add_job(
+            JobRecord(job=job, assign_sequence=1),
+            [
+                TaskRecord(
+                    task_id=f"{job.job_id}/{number}",
+                    job_id=job.job_id,
+                    number=number,
+                )
+                for number in range(job.task_count)
+            ],
+        )
+    return table
+
+
+@pytest.mark.parametrize("count", [0, 1, 2_500, 2_501, 9_000])
+def test_every_queued_task_is_seen(count: int) -> None:
+    """Guards against tasks at the front that hide all others."""
+    table = table_of(Job(job_id="j", team="t", task_count=count))
+    seen = set()
+    for now_unix_ms in range(0, 10_000, 500):
+        window = queue_window(table, now_unix_ms)
+        assert len(window) <= FIRST_TASKS + ROTATING_TASKS
+        assert len({task.task_id for task in window}) == len(window)
+        seen.update(task.task_id for task in window)
+    assert len(seen) == count
+
+
+def test_urgent_and_due_tasks_come_first() -> None:
+    """Guards against urgent work that waits for its turn in the window."""
+    table = table_of(
+        Job(job_id="a", team="t", task_count=9_000),
+        Job(job_id="due", team="t", finish_deadline_unix_ms=5),
+        Job(job_id="urgent", team="t", priority="urgent"),
+    )
+    window = queue_window(table, 12_345_000)
+    assert [task.job_id for task in window[:2]] == ["urgent", "due"]
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -17,6 +17,7 @@
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import FrameError
 from sardinespool.errors.transport import NotReadyError
+from sardinespool.errors.transport import ReplyTooLargeError
 from sardinespool.groups.refusal import refused
 from sardinespool.messages import codec
 from sardinespool.messages.configuration import Configuration
@@ -218,6 +219,25 @@
     assert handler.calls == 1
 
 
+def test_oversized_reply_is_a_typed_refusal() -> None:
+    """Guards against a caller that resends a call without an answer.
+
+    A scheduling view over 8 MiB stopped a domain's scheduler.
+    """
+    large = Configuration(values={"limits/x": "x" * FRAME_BYTES_MAX})
+
+    async def use(addresses: list[str]) -> None:
+        connector = Connector(cluster(), "test", "a")
+        client = GroupClient("g", {"a": addresses[0]}, connector)
+        deadline = system_clock.now().unix_ms + FAR_MS
+        with pytest.raises(ReplyTooLargeError):
+            await client.call(ReadConfiguration(), deadline)
+        assert await client.call(ReadConfiguration(), deadline)
+        await connector.close()
+
+    with_servers([Handler([large])], use)
+
+
 def test_peer_messages_arrive_in_order() -> None:
     """Guards against reordering while a connection is being made."""
     handler = Handler([])
