Split the group's batches from its task

Ruled out: inheritance; the task would expose every private part. Change: GroupBatches handles batches, GroupRunner owns it and the queue.

--- /dev/null
+++ b/src/sardinespool/programs/store/group_batches.py
@@ -0,0 +1,369 @@
+"""Group's replica, files, state machine and service, driven in batches."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+
+from sardinespool.clock import Instant
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import NotLeaderError
+from sardinespool.groups.contract import Answer
+from sardinespool.groups.contract import GroupMachine
+from sardinespool.groups.contract import GroupService
+from sardinespool.groups.contract import Proposal
+from sardinespool.groups.domain_service import DomainService
+from sardinespool.messages import codec
+from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.commands import FormGroup
+from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.pending import fail
+from sardinespool.programs.store.pending import PendingProposals
+from sardinespool.programs.store.pending import resolve
+from sardinespool.programs.store.pending import Waiter
+from sardinespool.programs.store.runner_events import CallReceived
+from sardinespool.programs.store.runner_events import PeerReceived
+from sardinespool.programs.store.runner_events import RunnerEvent
+from sardinespool.programs.store.runner_events import SyncReceived
+from sardinespool.programs.store.runner_events import SyncRequested
+from sardinespool.programs.store.runner_events import TransferRequested
+from sardinespool.programs.store.store_metrics import StoreMetrics
+from sardinespool.replication import effects as replica_effects
+from sardinespool.replication import events as replica_events
+from sardinespool.replication.entries import Entry
+from sardinespool.replication.entries import EntryKind
+from sardinespool.replication.messages import PeerMessage
+from sardinespool.replication.replica import Replica
+from sardinespool.replication.state import Snapshot
+from sardinespool.replication.status import ReplicaStatus
+from sardinespool.storage.group_store import GroupStore
+
+SERVICE_TICK_INTERVAL_MS = 100
+
+_LOG = get_logger("store")
+
+
+class GroupBatches:
+    """Handles batches of events; has no task of its own.
+
+    All events of a batch share one sync of the log. The batch's effects are
+    carried out in the order persist, send, apply.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    replica : Replica
+        Replicated log.
+    store : GroupStore
+        Files of the group.
+    machine : GroupMachine
+        Replicated state.
+    service : GroupService
+        Leader's side.
+    send : callable
+        Sends a replication message to the member of the given name.
+    clock : callable
+        Returns the present instant.
+    metrics : StoreMetrics
+        Metrics of the process.
+    snapshot : Snapshot, optional
+        Snapshot that the replica starts from.
+    snapshot_every_entries : int
+        Applied entries between two snapshots.
+    reformed : bool
+        The group is formed again after the loss of all its disks.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        replica: Replica,
+        store: GroupStore,
+        machine: GroupMachine,
+        service: GroupService,
+        send: Callable[[str, PeerMessage], None],
+        clock: Callable[[], Instant],
+        metrics: StoreMetrics,
+        snapshot: Snapshot | None,
+        snapshot_every_entries: int,
+        reformed: bool,
+    ) -> None:
+        self.group = group
+        self.not_serving = asyncio.Event()
+        self.not_serving.set()
+        self._replica = replica
+        self._store = store
+        self._machine = machine
+        self._service = service
+        self._send = send
+        self._clock = clock
+        self._metrics = metrics
+        self._snapshot_every_entries = snapshot_every_entries
+        self._reformed = reformed
+        self._pending = PendingProposals()
+        self._internal_pending = 0
+        self._serving = False
+        self._formed = False
+        self._applied_index = 0
+        self._entries_since_snapshot = 0
+        self._service_tick_deadline_boot_ms = 0
+        if snapshot is not None:
+            self._restore(snapshot.index, snapshot.data)
+
+    @property
+    def status(self) -> ReplicaStatus:
+        """State of the replica."""
+        return self._replica.status()
+
+    @property
+    def serving(self) -> bool:
+        """Whether this member leads and its lease is valid."""
+        return self._replica.is_leader(self._clock())
+
+    def close(self) -> None:
+        """Fail those who wait and close the files."""
+        self._pending.fail_all()
+        self._store.close()
+
+    def run_batch(self, batch: list[RunnerEvent]) -> None:
+        """Handle events that arrived since the last batch, or none."""
+        now = self._clock()
+        effects = list(self._replica.handle(replica_events.Tick(), now))
+        for event in batch:
+            if isinstance(event, PeerReceived):
+                effects += self._replica.handle(
+                    replica_events.PeerMessageReceived(
+                        event.sender, event.message
+                    ),
+                    now,
+                )
+        # Committed entries are applied before any call is served: the
+        # replica counts as leader once it has handed them out.
+        self._execute(effects)
+        self._update_serving(now)
+        effects = []
+        bodies: list[tuple[CommandBody, Waiter]] = []
+        for event in batch:
+            match event:
+                case CallReceived():
+                    self._handle_call(event, now, bodies)
+                case SyncRequested():
+                    self._handle_sync_request(event, now)
+                case SyncReceived():
+                    self._handle_sync_reply(event, now, bodies)
+                case TransferRequested():
+                    effects += self._replica.handle(
+                        replica_events.TransferLeadership(), now
+                    )
+                case PeerReceived():
+                    pass
+        self._add_due_commands(now, bodies)
+        effects += self._propose(bodies, now)
+        self._execute(effects)
+        self._snapshot_if_due()
+
+    def _update_serving(self, now: Instant) -> None:
+        serving = self._replica.is_leader(now)
+        if serving == self._serving:
+            return
+        self._serving = serving
+        if serving:
+            self.not_serving.clear()
+            self._service.become_leader(now)
+            _LOG.info("Serving.", group=self.group, term=self.status.term)
+        else:
+            self.not_serving.set()
+            self._service.step_down()
+            _LOG.info(
+                "No longer serving.", group=self.group, term=self.status.term
+            )
+
+    def _handle_call(
+        self,
+        event: CallReceived,
+        now: Instant,
+        bodies: list[tuple[CommandBody, Waiter]],
+    ) -> None:
+        waiter = Waiter(event.request, event.reply)
+        if not self._serving or not self._formed:
+            fail(waiter, self.not_leader())
+            return
+        try:
+            outcome = self._service.handle(event.request, now)
+        except SardinespoolError as error:
+            fail(waiter, error)
+            return
+        match outcome:
+            case Answer(reply=reply):
+                resolve(waiter, reply)
+            case Proposal(body=body):
+                bodies.append((body, waiter))
+
+    def _handle_sync_request(self, event: SyncRequested, now: Instant) -> None:
+        request = None
+        if (
+            self._serving
+            and self._formed
+            and isinstance(self._service, DomainService)
+        ):
+            request = self._service.sync_request(now)
+        if not event.request.done():
+            event.request.set_result(request)
+
+    def _handle_sync_reply(
+        self,
+        event: SyncReceived,
+        now: Instant,
+        bodies: list[tuple[CommandBody, Waiter]],
+    ) -> None:
+        if self._serving and isinstance(self._service, DomainService):
+            for body in self._service.sync_reply(event.reply, now):
+                bodies.append((body, Waiter()))
+
+    def _add_due_commands(
+        self, now: Instant, bodies: list[tuple[CommandBody, Waiter]]
+    ) -> None:
+        # Due commands are returned until applied, so the next ones are
+        # asked for only when no earlier one waits.
+        if not self._serving or self._internal_pending:
+            return
+        if not self._formed:
+            form = FormGroup(
+                group_incarnation=secrets.token_hex(4),
+                reformed=self._reformed,
+            )
+            bodies.append((form, Waiter()))
+            return
+        if now.boot_ms < self._service_tick_deadline_boot_ms:
+            return
+        self._service_tick_deadline_boot_ms = (
+            now.boot_ms + SERVICE_TICK_INTERVAL_MS
+        )
+        for body in self._service.tick(now):
+            bodies.append((body, Waiter()))
+
+    def _propose(
+        self, bodies: list[tuple[CommandBody, Waiter]], now: Instant
+    ) -> list[replica_effects.Effect]:
+        if not bodies:
+            return []
+        payloads = tuple(
+            codec.encode(Command(proposed_unix_ms=now.unix_ms, body=body))
+            for body, _ in bodies
+        )
+        effects = self._replica.handle(replica_events.Propose(payloads), now)
+        waiters = [waiter for _, waiter in bodies]
+        for effect in effects:
+            match effect:
+                case replica_effects.ProposalAccepted(
+                    first_index=first, term=term
+                ):
+                    for offset, waiter in enumerate(waiters):
+                        self._pending.add(first + offset, term, waiter)
+                        self._internal_pending += waiter.reply is None
+                case replica_effects.ProposalRefused():
+                    for waiter in waiters:
+                        fail(waiter, self.not_leader())
+        return effects
+
+    def _execute(self, effects: list[replica_effects.Effect]) -> None:
+        durable = [
+            effect
+            for effect in effects
+            if isinstance(
+                effect,
+                replica_effects.Persist | replica_effects.PersistSnapshot,
+            )
+        ]
+        if durable:
+            started_seconds = time.perf_counter()
+            self._store.persist(durable)
+            self._metrics.sync_latency_ms.observe(
+                (time.perf_counter() - started_seconds) * 1000,
+                group=self.group,
+            )
+        for effect in effects:
+            if isinstance(effect, replica_effects.Send):
+                self._send(effect.to, effect.message)
+        for effect in effects:
+            match effect:
+                case replica_effects.Apply(entries=entries):
+                    for entry in entries:
+                        self._apply(entry)
+                case replica_effects.InstallSnapshot(index=index, data=data):
+                    self._pending.fail_all()
+                    self._internal_pending = 0
+                    self._restore(index, data)
+                case replica_effects.LeadershipChanged():
+                    self._on_leadership_change(effect)
+
+    def _restore(self, index: int, data: bytes) -> None:
+        self._machine.restore(data)
+        self._applied_index = index
+        self._entries_since_snapshot = 0
+        self._formed = self._is_formed()
+
+    def _on_leadership_change(
+        self, effect: replica_effects.LeadershipChanged
+    ) -> None:
+        _LOG.info(
+            "Leadership changed.",
+            group=self.group,
+            term=effect.term,
+            leader=effect.leader,
+        )
+        if not effect.is_leader:
+            self._pending.fail_all()
+            self._internal_pending = 0
+
+    def _apply(self, entry: Entry) -> None:
+        self._applied_index = entry.index
+        self._entries_since_snapshot += 1
+        if entry.kind is not EntryKind.COMMAND:
+            self._pending.take(entry.index, entry.term)
+            return
+        command = codec.decode_command(entry.payload)
+        result = self._machine.apply(command, entry.index)
+        self._formed = self._formed or self._is_formed()
+        self._metrics.applied_entries.inc(group=self.group)
+        waiter = self._pending.take(entry.index, entry.term)
+        if waiter is None:
+            return
+        if waiter.request is None:
+            self._internal_pending = max(0, self._internal_pending - 1)
+            return
+        now = self._clock()
+        # A reply can carry permits and leases, so the lease is checked
+        # again after the sync.
+        if not self._replica.is_leader(now):
+            fail(waiter, self.not_leader())
+            return
+        resolve(waiter, self._service.complete(waiter.request, result, now))
+
+    def _snapshot_if_due(self) -> None:
+        if self._entries_since_snapshot < self._snapshot_every_entries:
+            return
+        self._entries_since_snapshot = 0
+        self._execute(
+            self._replica.handle(
+                replica_events.SnapshotTaken(
+                    self._applied_index, self._machine.snapshot()
+                ),
+                self._clock(),
+            )
+        )
+
+    def _is_formed(self) -> bool:
+        return bool(getattr(self._machine, "group_incarnation", ""))
+
+    def not_leader(self) -> NotLeaderError:
+        """Return the refusal that names the leader, if one is known."""
+        # Identities are ``name#incarnation``; clients know the names.
+        leader = self.status.leader.partition("#")[0]
+        return NotLeaderError(
+            "The member does not lead the group.",
+            group=self.group,
+            leader=leader,
+        )
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -25,6 +25,7 @@
 from sardinespool.observability.status_server import ProbeResult
 from sardinespool.observability.status_server import StatusServer
 from sardinespool.programs.store.domain_link import DomainLink
+from sardinespool.programs.store.group_batches import GroupBatches
 from sardinespool.programs.store.group_runner import GroupRunner
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication import messages as peer_messages
@@ -198,7 +199,7 @@
         def send(name: str, message: PeerMessage) -> None:
             self._send(group, name, message)
 
-        return GroupRunner(
+        batches = GroupBatches(
             group,
             replica,
             store,
@@ -211,6 +212,7 @@
             timing.snapshot_every_entries,
             self._settings.reformed,
         )
+        return GroupRunner(batches)
 
     def _make_state(self, group: str) -> tuple[GroupMachine, GroupService]:
         if group == GLOBAL_GROUP:
--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -86,7 +86,7 @@
 _MACHINE = "groups.domain_machine:DomainMachine"
 _PERMIT = "domains.permit:StartPermit"
 _FLOW = "routing.request_flow:RequestFlow"
-_RUNNER = "programs.store.group_runner:GroupRunner"
+_RUNNER = "programs.store.group_batches:GroupBatches"
 
 _ALL = (
     Mutation(
--- a/testing/proof/stores.py
+++ b/testing/proof/stores.py
@@ -1,4 +1,4 @@
-"""Store processes: the daemon's `GroupRunner` on a disk in memory."""
+"""Store processes: the daemon's `GroupBatches` on a disk in memory."""
 
 import functools
 import zlib
@@ -15,7 +15,7 @@
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.programs.store import domain_link
 from sardinespool.programs.store import runner_events
-from sardinespool.programs.store.group_runner import GroupRunner
+from sardinespool.programs.store.group_batches import GroupBatches
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.settings import ReplicaSettings
 from testing.proof.engine import CrashedError
@@ -73,8 +73,8 @@
         """Ignore the value."""
 
 
-class WatchedRunner(GroupRunner):
-    """The daemon's runner; tells the watch what happens."""
+class WatchedRunner(GroupBatches):
+    """The daemon's group; tells the watch what happens."""
 
     host: Host
     learners = 0
@@ -149,7 +149,7 @@
         if only_events and not inbox:
             return
         runner = self.runners[group]
-        runner._run_batch(inbox)
+        runner.run_batch(inbox)
         if not runner._serving:
             return
         before, after = runner.learners, len(runner.status.learners)
--- a/testing/proof/world.py
+++ b/testing/proof/world.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sardinespool.programs.store import group_runner
+from sardinespool.programs.store import group_batches
 from testing.proof.callers import CallerHost
 from testing.proof.client import Clients
 from testing.proof.engine import Engine
@@ -79,7 +79,7 @@
         self.engine = Engine(seed)
         self.network = Network(self.engine)
         tokens: Any = Tokens(self.engine.random)
-        setattr(group_runner, "secrets", tokens)  # noqa: B010
+        setattr(group_batches, "secrets", tokens)  # noqa: B010
         self.watch = Watch()
         self.oracle = Oracle(self.engine)
         self.clients = Clients(self.engine, self.network)
--- a/testing/store/test_group_runner.py
+++ b/testing/store/test_group_runner.py
@@ -16,6 +16,7 @@
 from sardinespool.messages.configuration import ReadConfiguration
 from sardinespool.messages.configuration import SubmitPatch
 from sardinespool.observability.metrics import Metrics
+from sardinespool.programs.store.group_batches import GroupBatches
 from sardinespool.programs.store.group_runner import GroupRunner
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication.replica import Replica
@@ -62,7 +63,7 @@
             1,
             clock(),
         )
-        self.runner = GroupRunner(
+        batches = GroupBatches(
             "global",
             self.replica,
             store,
@@ -75,6 +76,7 @@
             SNAPSHOT_EVERY,
             False,
         )
+        self.runner = GroupRunner(batches)
 
     async def __aenter__(self) -> "Member":
         """Start the runner."""
