--- a/bench/routing_fakes/domain.py
+++ b/bench/routing_fakes/domain.py
@@ -42,8 +42,7 @@
     """Entries that share endpoints in one of four ways.
 
     `sharing` is ``grants`` (as built), ``owners`` (one entry per endpoint),
-    ``static`` or ``pool`` (all entries use one router). ``grants, trial`` is
-    ``grants`` with another division of the remainders.
+    ``static`` or ``pool`` (all entries use one router).
     """
 
     def __init__(
@@ -93,9 +92,7 @@
         ]
         if sharing == "owners":
             self._give_to_owners(present)
-        self._leader = FakeLeader(
-            self.loop, self._followers, trial=sharing == "grants, trial"
-        )
+        self._leader = FakeLeader(self.loop, self._followers)
         for number, time_ms in self._joins.items():
             join = functools.partial(self._join, announced[number])
             self.loop.at(time_ms, join)
--- a/bench/routing_fakes/leader.py
+++ b/bench/routing_fakes/leader.py
@@ -6,7 +6,6 @@
 
 from bench.routing_fakes.entry import FakeEntry
 from bench.routing_fakes.loop import VirtualLoop
-from bench.routing_fakes.trial_grants import TrialGrants
 from sardinespool.capacity.grants import GrantTable
 from sardinespool.messages.capacity import Endpoint
 from sardinespool.messages.capacity import EntrySync
@@ -52,11 +51,9 @@
         self,
         loop: VirtualLoop,
         followers: Sequence[Follower],
-        trial: bool = False,
     ) -> None:
         self._loop = loop
-        kind = TrialGrants if trial else GrantTable
-        self._grants = kind(len(followers))
+        self._grants = GrantTable(len(followers))
         for position, follower in enumerate(followers):
             self._view(follower)
             offset_ms = SYNC_MS * position / len(followers)
--- a/bench/routing_sharing.py
+++ b/bench/routing_sharing.py
@@ -12,7 +12,7 @@
 """Lillekoda's 34 endpoints are 9, 9, 8 and 8 in its four domains."""
 LOADS = (0.5, 0.8, 0.95)
 SKEWS = {"balanced": (1.0, 1.0, 1.0), "skewed 60/30/10": (6.0, 3.0, 1.0)}
-SHARINGS = ("grants", "grants, trial", "owners", "static", "pool")
+SHARINGS = ("grants", "owners", "static", "pool")
 _WARM_UP_MS = 4_500.0
 _MEASURED_MS = 3_500.0
 
--- a/src/sardinespool/groups/domain_views.py
+++ b/src/sardinespool/groups/domain_views.py
@@ -124,20 +124,29 @@
 def task_list(
     machine: DomainMachine, observations: Observations, request: ListTasks
 ) -> TaskList:
-    """Return the answer to `ListTasks`."""
+    """Return the answer to `ListTasks`.
+
+    Payloads and checkpoints are listed for the tasks of one job only; those
+    of all jobs would exceed the frame limit.
+    """
     table = machine.tasks
     limit = max(0, request.limit)
     if request.job_id:
-        tasks = table.of_job(request.job_id)[:limit]
-    else:
-        tasks = heapq.nsmallest(
-            limit,
-            table.tasks.values(),
-            key=lambda task: (task.job_id, task.number),
+        return TaskList(
+            tasks=tuple(
+                task_view(table, task, observations.usage_of(task))
+                for task in table.of_job(request.job_id)[:limit]
+            )
         )
+    tasks = heapq.nsmallest(
+        limit,
+        table.tasks.values(),
+        key=lambda task: (task.job_id, task.number),
+    )
+    jobs: dict[str, Job] = {}
     return TaskList(
         tasks=tuple(
-            task_view(table, task, observations.usage_of(task))
+            planning_view(table, task, observations.usage_of(task), jobs)
             for task in tasks
         )
     )
--- a/src/sardinespool/messages/tasks.py
+++ b/src/sardinespool/messages/tasks.py
@@ -228,7 +228,10 @@
 
 
 class ListTasks(Message, frozen=True, kw_only=True):
-    """Ask for tasks, of one job if given; answered by `TaskList`."""
+    """Ask for tasks, of one job if given; answered by `TaskList`.
+
+    Payloads and checkpoints are listed only with a job.
+    """
 
     job_id: str = ""
     limit: int = 1000
