--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,15 @@
 proof: $(STAMP)
 	$(BIN)/python -m testing.proof.run_proof --seed $(SEED) --examples $(EXAMPLES)
 
+# About 25 minutes on a quiet machine.
 bench: $(STAMP)
 	$(BIN)/python -m bench.processes --write docs/measurements.md
+	$(BIN)/python -m bench.placement --write docs/measurements-placement.md
+	$(BIN)/python -m bench.placement --parts \
+		--write docs/measurements-placement-parts.md
+	$(BIN)/python -m bench.placement_cost \
+		--write docs/measurements-placement-cost.md
+	$(BIN)/python -m bench.routing --write docs/measurements-routing.md
 
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity --write docs/CAPACITY.md
--- /dev/null
+++ b/testing/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the examples."""
