--- a/src/sardinespool/messages/tasks.py
+++ b/src/sardinespool/messages/tasks.py
@@ -19,7 +19,7 @@
 ]
 
 
-class TaskReport(Record, frozen=True, kw_only=True):
+class TaskReport(Record, frozen=True, kw_only=True, omit_defaults=True):
     """What a worker reports of one attempt of one task.
 
     `slowdown` is the run time of the last period over that of an undisturbed
