Keep a store's dump whole when leadership ends meanwhile

Cause: reading the store process as a newcomer: a dump failed with an untyped answer if the lease ended between the check and the call, and the addresses of a group were collected again for each peer message. Ruled out: a lock over the dump; leadership can end at any time.

--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -16,6 +16,7 @@
 from sardinespool.groups.global_service import GlobalService
 from sardinespool.groups.refusal import refused
 from sardinespool.messages import codec
+from sardinespool.messages.commands import Refused
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
 from sardinespool.observability.logs import get_logger
@@ -172,10 +173,9 @@
     def _make_runner(self, group: str) -> GroupRunner:
         store = GroupStore(pathlib.Path(self._settings.data_folder) / group)
         state = store.load()
+        addresses = self._group_addresses(group)
         peers = tuple(
-            name
-            for name in self._group_addresses(group)
-            if name != self._settings.name
+            name for name in addresses if name != self._settings.name
         )
         seed = zlib.crc32(f"{self._settings.name}/{group}".encode())
         timing = self._settings.replication
@@ -197,7 +197,14 @@
         machine, service = self._make_state(group)
 
         def send(name: str, message: PeerMessage) -> None:
-            self._send(group, name, message)
+            address = addresses.get(name)
+            if address is not None:
+                self._connector.send_peer(
+                    address,
+                    group,
+                    self._settings.name,
+                    peer_messages.encode_peer_message(message),
+                )
 
         batches = GroupBatches(
             group,
@@ -224,16 +231,6 @@
         domain = DomainMachine(group)
         return domain, DomainService(domain, group, entry_count)
 
-    def _send(self, group: str, name: str, message: PeerMessage) -> None:
-        address = self._group_addresses(group).get(name)
-        if address is not None:
-            self._connector.send_peer(
-                address,
-                group,
-                self._settings.name,
-                peer_messages.encode_peer_message(message),
-            )
-
     def _group_addresses(self, group: str) -> dict[str, str]:
         return {
             store.name: store.address
@@ -269,9 +266,7 @@
         for group, runner in self._runners.items():
             state: dict[str, Any] = {"replica": runner.status}
             if runner.serving:
-                reply = await runner.call(DumpState())
-                if isinstance(reply, StateDump):
-                    state["state"] = reply
+                state["state"] = await _state_of(runner)
             dump["groups"][group] = state
         return dump
 
@@ -350,6 +345,17 @@
         remaining -= done
 
 
+async def _state_of(runner: GroupRunner) -> StateDump | Refused:
+    """Return a group's state, or why it was not given."""
+    try:
+        reply = await runner.call(DumpState())
+    except SardinespoolError as error:
+        # Leadership can end between the check and the call.
+        return refused(error)
+    assert isinstance(reply, StateDump | Refused)
+    return reply
+
+
 def _member_named(settings: StoreSettings) -> StoreMember:
     for store in settings.cluster.stores:
         if store.name == settings.name:
