--- /dev/null
+++ b/src/sardinespool/dispatch/control_service.py
@@ -0,0 +1,246 @@
+"""Leader's side of a control group."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.errors.tasks import JobGoneError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.errors.transport import NotReadyError
+from sardinespool.groups.contract import Answer
+from sardinespool.groups.contract import Proposal
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.dump import DumpState
+from sardinespool.messages.dump import StateDump
+from sardinespool.messages.fleet import DropWorker
+from sardinespool.messages.fleet import PutWorker
+from sardinespool.messages.fleet import ReportWorker
+from sardinespool.messages.fleet import WorkerLeaves
+from sardinespool.messages.manifest import ManifestCopy
+from sardinespool.messages.manifest import MemberList
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import ReadManifest
+from sardinespool.messages.manifest import SetEvacuation
+from sardinespool.messages.tasks import Accepted
+from sardinespool.messages.workflows import AcceptWorkflow
+from sardinespool.messages.workflows import CancelWorkflow
+from sardinespool.messages.workflows import CountWaiting
+from sardinespool.messages.workflows import EndWorkflow
+from sardinespool.messages.workflows import ReadWorkflow
+from sardinespool.messages.workflows import RecordRuns
+from sardinespool.messages.workflows import RunsRecorded
+from sardinespool.messages.workflows import SubmitWorkflow
+from sardinespool.messages.workflows import WaitingCount
+from sardinespool.messages.workflows import WorkflowStatus
+from sardinespool.observability.logs import get_logger
+from sardinespool.replication.identity import name_of
+from sardinespool.replication.status import ReplicaStatus
+from sardinespool.workflows.manifest import check_manifest
+from sardinespool.workflows.records import WorkflowRecord
+from sardinespool.workflows.spec_check import check_spec
+
+JOB_ID_LENGTH_MAX = 64
+
+_LOG = get_logger("control")
+
+
+class ControlService:
+    """Answers callers, workers and operators; runs the dispatcher.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        Replicated state.
+    dispatcher : Dispatcher
+        Drives the workers.
+    status : callable
+        Returns the state of the replica.
+    """
+
+    def __init__(
+        self,
+        machine: ControlMachine,
+        dispatcher: Dispatcher,
+        status: Callable[[], ReplicaStatus],
+    ) -> None:
+        self._machine = machine
+        self._dispatcher = dispatcher
+        self._status = status
+
+    def become_leader(self, now: Instant) -> None:
+        """Start to drive the workers."""
+        self._dispatcher.begin(self._status().term, now)
+
+    def step_down(self) -> None:
+        """Stop to drive the workers."""
+        self._dispatcher.end()
+
+    def handle(self, request: Request, now: Instant) -> Answer | Proposal:
+        """Answer a request or propose a command.
+
+        Raises
+        ------
+        SardinespoolError
+            The request is refused.
+        """
+        match request:
+            case SubmitWorkflow():
+                return self._submit(request)
+            case ReadWorkflow(host=host, path=path):
+                return Answer(status_of(self._workflow(host, path)))
+            case CancelWorkflow(host=host, path=path):
+                workflow = self._workflow(host, path)
+                if workflow.is_final:
+                    return Answer(status_of(workflow))
+                return Proposal(EndWorkflow(job_id=workflow.job_id))
+            case CountWaiting(host=host, path=path):
+                return self._count(host, path)
+            case PublishManifest():
+                return self._publish(request)
+            case ReadManifest():
+                return self._read_manifest()
+            case SetEvacuation():
+                _LOG.info(
+                    "evacuation",
+                    failure_domain=request.failure_domain,
+                    evacuated=request.evacuated,
+                )
+                return Proposal(request)
+            case ReportWorker():
+                if self._dispatcher.fleet.needs_record(request, now):
+                    return Proposal(PutWorker(description=request.description))
+                return Answer(Accepted())
+            case WorkerLeaves(worker_id=worker_id):
+                return self._leave(worker_id)
+            case DumpState():
+                return Answer(
+                    StateDump(json=msgspec.json.encode(self._dump()))
+                )
+            case _:
+                raise InvalidMessageError(
+                    "A control group does not serve this request.",
+                    request=type(request).__name__,
+                )
+
+    def complete(self, request: Request, result: Reply, now: Instant) -> Reply:
+        """Return the reply to a request whose proposal was applied."""
+        match request, result:
+            case ReportWorker(description=description), _:
+                self._dispatcher.worker_recorded(description, now)
+            case CancelWorkflow(), WorkflowStatus(state="cancelled") as status:
+                _LOG.info("job cancelled", job=status.job_id)
+                self._dispatcher.stop_job(status.job_id, "job cancelled")
+            case WorkerLeaves(worker_id=worker_id), _:
+                self._dispatcher.worker_left(worker_id)
+            case SubmitWorkflow(), WorkflowStatus() as status:
+                _LOG.info("job accepted", job=status.job_id)
+            case PublishManifest(version=version), Accepted():
+                _LOG.info("manifest in force", version=version)
+        return result
+
+    def tick(self, now: Instant) -> list[CommandBody]:
+        """Return the command of the next planning pass."""
+        command = self._dispatcher.plan(now)
+        return [] if command is None else [command]
+
+    def applied(self, body: CommandBody, result: Reply, now: Instant) -> None:
+        """Follow a planning pass that was committed."""
+        if isinstance(body, RecordRuns) and isinstance(result, RunsRecorded):
+            self._dispatcher.recorded(result, now)
+
+    def _submit(self, request: SubmitWorkflow) -> Answer | Proposal:
+        queue, job_id = self._machine.manifest.resolve(
+            request.host, request.path
+        )
+        _check_job_id(job_id)
+        stored = self._machine.table.workflows.get(job_id)
+        if stored is not None:
+            return Answer(status_of(stored))
+        check_spec(request.spec)
+        return Proposal(
+            AcceptWorkflow(job_id=job_id, queue=queue.name, spec=request.spec)
+        )
+
+    def _workflow(self, host: str, path: str) -> WorkflowRecord:
+        _, job_id = self._machine.manifest.resolve(host, path)
+        workflow = self._machine.table.workflows.get(job_id)
+        if workflow is None:
+            raise JobGoneError("No job of this id is stored.", job=job_id)
+        return workflow
+
+    def _count(self, host: str, path: str) -> Answer:
+        queue, _ = self._machine.manifest.resolve(host, path)
+        waiting = self._machine.table.waiting_jobs.get(queue.name, 0)
+        return Answer(WaitingCount(waiting=waiting))
+
+    def _publish(self, request: PublishManifest) -> Answer | Proposal:
+        check_manifest(request)
+        if request.version <= self._machine.manifest.version:
+            return Answer(Accepted())
+        return Proposal(request)
+
+    def _read_manifest(self) -> Answer:
+        current = self._machine.manifest.current
+        if current is None:
+            raise NotReadyError("No manifest has been published yet.")
+        return Answer(
+            ManifestCopy(version=current.version, source=current.source)
+        )
+
+    def _leave(self, worker_id: str) -> Answer | Proposal:
+        known = self._machine.workers.get(worker_id)
+        if known is None:
+            return Answer(Accepted())
+        _LOG.info("worker leaves", worker=worker_id)
+        return Proposal(DropWorker(worker_id=worker_id, life=known.life))
+
+    def _members(self) -> MemberList:
+        status = self._status()
+        return MemberList(
+            members=tuple(
+                name_of(identity)
+                for identity in (*status.voters, *status.learners)
+            ),
+            manifest_version=self._machine.manifest.version,
+        )
+
+    def _dump(self) -> dict[str, object]:
+        table = self._machine.table
+        return {
+            "manifest_version": self._machine.manifest.version,
+            "evacuated": sorted(self._machine.evacuated),
+            "jobs": len(table.workflows),
+            "ready_steps": len(table.ready),
+            "waiting_jobs": dict(table.waiting_jobs),
+            "workers": {
+                worker.worker_id: {
+                    "answered": worker.answered,
+                    "draining": worker.description.draining,
+                    "free_millicores": worker.free_millicores,
+                    "free_memory_mb": worker.free_memory_mb,
+                    "runs": len(worker.runs),
+                }
+                for worker in self._dispatcher.fleet.workers.values()
+            },
+        }
+
+
+def status_of(workflow: WorkflowRecord) -> WorkflowStatus:
+    """Return the state of a job."""
+    return WorkflowStatus(job_id=workflow.job_id, state=workflow.state)
+
+
+def _check_job_id(job_id: str) -> None:
+    if (
+        not job_id
+        or len(job_id) > JOB_ID_LENGTH_MAX
+        or not job_id.isascii()
+        or not job_id.isalnum()
+    ):
+        raise InvalidJobError("The id of the job is not valid.", job=job_id)
--- /dev/null
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -0,0 +1,378 @@
+"""Plans runs and drives workers; pure, used by a group's leader."""
+
+from collections.abc import Callable
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.answers import AnswerHandler
+from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.orders import HoldAnswer
+from sardinespool.dispatch.orders import HoldWorker
+from sardinespool.dispatch.orders import Order
+from sardinespool.dispatch.orders import OrderAnswer
+from sardinespool.dispatch.orders import PaceRun
+from sardinespool.dispatch.orders import StartRun
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.dispatch.planner import Planned
+from sardinespool.dispatch.planner import Planner
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_state import RunKey
+from sardinespool.dispatch.worker_state import WorkerState
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.fleet import WorkerDescription
+from sardinespool.messages.workflows import RecordRuns
+from sardinespool.messages.workflows import RunEnd
+from sardinespool.messages.workflows import RunOutcome
+from sardinespool.messages.workflows import RunsRecorded
+from sardinespool.observability.logs import get_logger
+
+_LOG = get_logger("dispatch")
+
+
+class Dispatcher:
+    """Leader's view of workers and runs.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        Replicated state.
+    settings : DispatchSettings
+        Timing and limits.
+    wake : callable
+        Called with the id of a worker for which an order or a hold is due.
+
+    Attributes
+    ----------
+    fencing_token : int
+        Term of the leadership; 0 while this member does not lead.
+    fenced : bool
+        A worker has seen a higher token.
+    """
+
+    def __init__(
+        self,
+        machine: ControlMachine,
+        settings: DispatchSettings,
+        wake: Callable[[str], None],
+    ) -> None:
+        self._machine = machine
+        self._settings = settings
+        self._wake = wake
+        self.fleet = Fleet(machine, settings, self.end_run)
+        self._answers = AnswerHandler(self.fleet, settings, self)
+        self._planner = Planner(machine, self.fleet, settings)
+        self.fencing_token = 0
+        self.fenced = False
+        self._proposed: RecordRuns | None = None
+        self._ends: list[RunEnd] = []
+        self._ended_runs: list[tuple[WorkerState, RunState]] = []
+        self._ended_in_commit: list[tuple[WorkerState, RunState]] = []
+        self._ends_listed: list[tuple[WorkerState, int]] = []
+        self._listed_in_commit: list[tuple[WorkerState, int]] = []
+        self._planned: Planned = []
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a planning pass could change something."""
+        return bool(self._ends) or bool(self._machine.table.ready)
+
+    def begin(self, fencing_token: int, now: Instant) -> None:
+        """Start to lead with a token above all earlier ones."""
+        self._reset()
+        self.fencing_token = fencing_token
+        self.fenced = False
+        self.fleet.begin(now)
+        for worker_id in self.fleet.workers:
+            self._wake(worker_id)
+
+    def end(self) -> None:
+        """Stop to lead and forget volatile state."""
+        self._reset()
+        self.fencing_token = 0
+        self.fleet.workers.clear()
+
+    def worker_recorded(
+        self, description: WorkerDescription, now: Instant
+    ) -> None:
+        """Follow a worker's description that was committed."""
+        self.fleet.put(description, now)
+        worker = self.fleet.workers.get(description.worker_id)
+        if worker is not None:
+            self._wake(worker.worker_id)
+
+    def worker_left(self, worker_id: str) -> None:
+        """End the runs of a worker that said that it ends."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is not None:
+            self.fleet.drop(worker, "worker left")
+
+    def stop_job(self, job_id: str, reason: str) -> None:
+        """Stop all runs of a job."""
+        for worker in self.fleet.workers.values():
+            for run in list(worker.runs.values()):
+                if (
+                    run.task is not None
+                    and run.task.step.workflow.job_id == job_id
+                ):
+                    self.stop_run(worker, run, reason)
+
+    def stop_run(
+        self, worker: WorkerState, run: RunState, reason: str
+    ) -> None:
+        """Stop a run; its end is reported when the worker lists it."""
+        if run.stop_wanted or run.phase is RunPhase.ENDED:
+            return
+        run.want_stop(reason)
+        _LOG.info(
+            "stop",
+            task=run.task_key,
+            run=run.run,
+            worker=worker.worker_id,
+            reason=reason,
+        )
+        if not run.sent and run.committed:
+            self.end_run(worker, run, "lost", reason)
+            return
+        worker.pending[run.key] = run
+        self._wake(worker.worker_id)
+
+    def end_run(
+        self,
+        worker: WorkerState,
+        run: RunState,
+        outcome: RunOutcome,
+        reason: str,
+    ) -> None:
+        """Queue the end of a run for the log; its room stays reserved."""
+        if run.phase is RunPhase.ENDED:
+            return
+        run.phase = RunPhase.ENDED
+        worker.pending.pop(run.key, None)
+        self._ends.append(
+            RunEnd(run.task_key, run.run, outcome, run.checkpoint)
+        )
+        self._ended_runs.append((worker, run))
+        if outcome != "done":
+            _LOG.info(
+                "run ended",
+                task=run.task_key,
+                run=run.run,
+                worker=worker.worker_id,
+                outcome=outcome,
+                reason=reason,
+            )
+
+    def note_listed_ends(self, worker: WorkerState) -> None:
+        """Keep the worker's next hold until the listed ends are committed."""
+        worker.ends_in_commit = True
+        self._ends_listed.append((worker, worker.listed_end))
+
+    def next_hold(self, worker_id: str, now: Instant) -> HoldWorker | None:
+        """Return the next hold of a worker, None while none is due."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is None or not self.fencing_token or worker.ends_in_commit:
+            return None
+        if (
+            worker.reconciled
+            and worker.answered
+            and not worker.runs
+            and worker.acknowledged_end >= worker.listed_end
+        ):
+            return None
+        return HoldWorker(
+            fencing_token=self.fencing_token,
+            acknowledged_end=worker.acknowledged_end,
+            wait_ms=self._settings.hold_wait_ms if worker.reconciled else 0,
+            lease_end_ms=self._lease_end(worker, now),
+        )
+
+    def hold_answered(
+        self,
+        worker_id: str,
+        life: int,
+        answer: HoldAnswer,
+        sent_boot_ms: int,
+        now: Instant,
+    ) -> None:
+        """Take the answer to a hold that was sent to a life of a worker."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is None or worker.description.life != life:
+            return
+        self._answers.hold_answered(worker, answer, sent_boot_ms, now)
+        self._wake(worker_id)
+
+    def next_order(
+        self, worker_id: str, now: Instant
+    ) -> tuple[RunKey, Order] | None:
+        """Return the next order to a worker, None while none is due."""
+        worker = self.fleet.workers.get(worker_id)
+        if (
+            worker is None
+            or not self.fencing_token
+            or not worker.reconciled
+            or not worker.clock.known
+        ):
+            return None
+        for run in list(worker.pending.values()):
+            if not run.needs_order:
+                del worker.pending[run.key]
+                continue
+            if run.in_flight or now.boot_ms < run.retry_boot_ms:
+                continue
+            order = self._order(worker, run, now)
+            if order is None:
+                continue
+            run.in_flight = True
+            run.sent = True
+            return run.key, order
+        return None
+
+    def order_answered(
+        self,
+        worker_id: str,
+        life: int,
+        key: RunKey,
+        order: Order,
+        answer: OrderAnswer,
+        now: Instant,
+    ) -> None:
+        """Take the answer to an order."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is None:
+            return
+        run = worker.runs.get(key)
+        if run is None or worker.description.life != life:
+            return
+        run.in_flight = False
+        self._answers.order_answered(worker, run, order, answer, now)
+        if run.needs_order:
+            worker.pending[run.key] = run
+        self._wake(worker_id)
+
+    def retry_due(self, worker_id: str, now: Instant) -> int | None:
+        """Return the milliseconds until an unanswered order is due."""
+        worker = self.fleet.workers.get(worker_id)
+        if worker is None:
+            return None
+        times = [
+            run.retry_boot_ms - now.boot_ms
+            for run in worker.pending.values()
+            if run.needs_order and not run.in_flight
+        ]
+        return max(1, min(times)) if times else None
+
+    def plan(self, now: Instant) -> RecordRuns | None:
+        """Return the next command, None if there is nothing to record.
+
+        The same command is returned until `recorded` was called.
+        """
+        if self._proposed is not None:
+            return self._proposed
+        self._answers.expire_leases(now)
+        self._planner.keep_up(now, self)
+        ends, self._ends = tuple(self._ends), []
+        self._ended_in_commit, self._ended_runs = self._ended_runs, []
+        self._listed_in_commit, self._ends_listed = self._ends_listed, []
+        assignments, self._planned = self._planner.assign(now)
+        opened = self._planner.due_occurrences(now)
+        forgotten = self._planner.forgotten_jobs(now)
+        if not (ends or assignments or opened or forgotten):
+            self._finish_listed()
+            return None
+        self._proposed = RecordRuns(
+            ends=ends,
+            opened=opened,
+            assignments=assignments,
+            forgotten_jobs=forgotten,
+        )
+        return self._proposed
+
+    def recorded(self, result: RunsRecorded, now: Instant) -> None:
+        """Follow the command of `plan`, which was committed."""
+        command = self._proposed
+        if command is None:
+            return
+        self._proposed = None
+        for worker, run in self._ended_in_commit:
+            worker.remove_run(run)
+        self._finish_listed()
+        for position, (worker, run) in enumerate(self._planned):
+            if position in result.refused:
+                worker.remove_run(run)
+                continue
+            run.committed = True
+            run.ordered_boot_ms = now.boot_ms
+            if run.task is not None:
+                run.checkpoint = run.task.checkpoint
+            if (
+                run.stop_wanted
+                or self.fleet.workers.get(worker.worker_id) is not worker
+            ):
+                self.end_run(worker, run, "lost", "worker changed meanwhile")
+                continue
+            worker.pending[run.key] = run
+            self._wake(worker.worker_id)
+        self._planned = []
+        self._stop_after(command)
+
+    def _stop_after(self, command: RecordRuns) -> None:
+        """Stop the other runs of jobs and gangs that these ends concern."""
+        for end in command.ends:
+            task = self._machine.table.task(end.task)
+            if task is None:
+                continue
+            workflow = task.step.workflow
+            if workflow.is_final:
+                self.stop_job(workflow.job_id, f"job {workflow.state}")
+            elif task.step.spec.gang and end.outcome != "done":
+                for worker in self.fleet.workers.values():
+                    for run in list(worker.runs.values()):
+                        if run.step is task.step:
+                            self.stop_run(worker, run, "member of gang ended")
+
+    def _finish_listed(self) -> None:
+        for worker, number in self._listed_in_commit:
+            worker.acknowledged_end = max(worker.acknowledged_end, number)
+            worker.ends_in_commit = False
+            self._wake(worker.worker_id)
+        self._listed_in_commit = []
+
+    def _lease_end(self, worker: WorkerState, now: Instant) -> int | None:
+        if not worker.clock.known:
+            return None
+        end_ms = worker.clock.expected(now.boot_ms) + self._settings.lease_ms
+        worker.lease_end_ms = max(worker.lease_end_ms, end_ms)
+        return end_ms
+
+    def _order(
+        self, worker: WorkerState, run: RunState, now: Instant
+    ) -> Order | None:
+        if run.stop_wanted:
+            return StopRun(run.task_key, run.run, self.fencing_token)
+        if run.phase is RunPhase.RUNNING:
+            return PaceRun(
+                run.task_key, run.run, run.pace_wanted, self.fencing_token
+            )
+        lease_end_ms = self._lease_end(worker, now)
+        if run.task is None or lease_end_ms is None:
+            return None
+        return StartRun(
+            task=run.task_key,
+            run=run.run,
+            payload=run.task.step.workflow.spec.payload,
+            lease_end_ms=lease_end_ms,
+            fencing_token=self.fencing_token,
+            checkpoint=run.task.checkpoint,
+            ticket=run.ticket,
+        )
+
+    def _reset(self) -> None:
+        self._proposed = None
+        self._ends = []
+        self._ended_runs = []
+        self._ended_in_commit = []
+        self._ends_listed = []
+        self._listed_in_commit = []
+        self._planned = []
+        self._planner.reset()
--- /dev/null
+++ b/src/sardinespool/dispatch/planner.py
@@ -0,0 +1,162 @@
+"""Which ready tasks start now, and where."""
+
+from typing import Protocol
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.placing import choose_worker
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_state import WorkerState
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.workflows import Assignment
+from sardinespool.workflows.records import StepRecord
+
+FORGET_INTERVAL_MS = 5_000
+STARTS_IN_PASS_MAX = 400
+"""Bounds the time of one pass; the rest follows in the next one."""
+
+Planned = list[tuple[WorkerState, RunState]]
+
+
+class StopRuns(Protocol):
+    """What the planner asks of the dispatcher."""
+
+    def stop_run(
+        self, worker: WorkerState, run: RunState, reason: str
+    ) -> None:
+        """Stop a run."""
+
+
+class Planner:
+    """Orders ready steps and assigns their tasks.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        Replicated state.
+    fleet : Fleet
+        Workers.
+    settings : DispatchSettings
+        Timing.
+    """
+
+    def __init__(
+        self,
+        machine: ControlMachine,
+        fleet: Fleet,
+        settings: DispatchSettings,
+    ) -> None:
+        self._machine = machine
+        self._fleet = fleet
+        self._settings = settings
+        self._forget_due_boot_ms = 0
+
+    def reset(self) -> None:
+        """Forget what earlier passes left."""
+        self._forget_due_boot_ms = 0
+
+    def assign(self, now: Instant) -> tuple[tuple[Assignment, ...], Planned]:
+        """Assign ready tasks and reserve their room.
+
+        Returns
+        -------
+        assignments : tuple of Assignment
+            To be recorded in the log.
+        planned : list of (WorkerState, RunState)
+            The run of each assignment, not committed yet.
+        """
+        ready = self._machine.table.ready
+        if not ready:
+            return (), []
+        usable: dict[str, list[WorkerState]] = {}
+        for worker in self._fleet.workers.values():
+            if self._fleet.takes_starts(worker, now):
+                pool = worker.description.pool
+                usable.setdefault(pool, []).append(worker)
+        assignments: list[Assignment] = []
+        planned: Planned = []
+        for step in sorted(ready.values(), key=self._urgency):
+            if len(assignments) >= STARTS_IN_PASS_MAX:
+                break
+            queue = self._machine.queue_of(step.workflow)
+            workers = usable.get(queue.pool, [])
+            chosen = self._place_step(step, workers, now)
+            for worker, run in chosen:
+                assignments.append(
+                    Assignment(
+                        run.task_key,
+                        run.run,
+                        worker.worker_id,
+                        worker.description.life,
+                    )
+                )
+                planned.append((worker, run))
+        return tuple(assignments), planned
+
+    def due_occurrences(self, now: Instant) -> tuple[tuple[str, int], ...]:
+        """Return the occurrences whose due time has come."""
+        due = []
+        for workflow in self._machine.table.unopened.values():
+            due_unix_ms = workflow.next_due_unix_ms
+            if due_unix_ms is not None and due_unix_ms <= now.unix_ms:
+                due.append((workflow.job_id, len(workflow.occurrences)))
+        return tuple(due)
+
+    def forgotten_jobs(self, now: Instant) -> tuple[str, ...]:
+        """Return the ended jobs whose state need not be kept."""
+        if now.boot_ms < self._forget_due_boot_ms:
+            return ()
+        self._forget_due_boot_ms = now.boot_ms + FORGET_INTERVAL_MS
+        before_unix_ms = now.unix_ms - self._settings.finished_job_retention_ms
+        return tuple(
+            workflow.job_id
+            for workflow in self._machine.table.workflows.values()
+            if workflow.is_final and workflow.ended_unix_ms < before_unix_ms
+        )
+
+    def keep_up(self, now: Instant, control: StopRuns) -> None:
+        """Move long-running tasks away from workers that drain."""
+        for worker in self._fleet.workers.values():
+            if not worker.description.draining:
+                continue
+            for run in list(worker.runs.values()):
+                if (
+                    run.step is not None
+                    and run.step.spec.long_running
+                    and run.phase is RunPhase.RUNNING
+                ):
+                    control.stop_run(worker, run, "worker drains")
+
+    def _urgency(self, step: StepRecord) -> tuple[int, int, str, int]:
+        workflow = step.workflow
+        return (
+            self._machine.queue_of(workflow).priority,
+            workflow.accepted_unix_ms,
+            workflow.job_id,
+            step.position,
+        )
+
+    def _place_step(
+        self, step: StepRecord, workers: list[WorkerState], now: Instant
+    ) -> Planned:
+        planned: Planned = []
+        gang_run = max((task.run for task in step.tasks), default=0) + 1
+        for index in sorted(step.waiting):
+            task = step.tasks[index]
+            worker = choose_worker(step, workers, set())
+            if worker is None:
+                break
+            number = gang_run if step.spec.gang else task.run + 1
+            run = RunState(
+                task.key, number, task, RunPhase.ORDERED, now.boot_ms
+            )
+            run.committed = False
+            worker.add_run(run)
+            planned.append((worker, run))
+        if step.spec.gang and len(planned) < step.spec.count:
+            for worker, run in planned:
+                worker.remove_run(run)
+            return []
+        return planned
--- /dev/null
+++ b/src/sardinespool/dispatch/settings.py
@@ -0,0 +1,47 @@
+"""Limits and timing of the dispatcher."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """Timing and limits, in milliseconds of the boot clock.
+
+    Attributes
+    ----------
+    lease_ms : int
+        Lease given with each order. It outlasts an election (1.5 s) and the
+        first calls of the next leader; longer leases delay the restart of
+        the tasks of a lost worker.
+    hold_wait_ms : int
+        Longest wait of one hold. A third of the lease, so that two holds may
+        be lost before it ends.
+    order_timeout_ms : int
+        Time after which a call counts as unanswered; a worker in another
+        failure domain answers within 5 ms when it is well.
+    retry_ms : int
+        Pause before an unanswered order is sent again.
+    clock_rate_min : float
+        Slowest rate of a worker's clock against this one.
+    lease_margin_ms : int
+        Added to the end of a lease before its runs count as ended.
+    late_order_ms : int
+        Longest time after which a worker may carry an unanswered order out.
+    stop_limit_ms : int
+        Longest time that a worker takes for a stop.
+    finished_job_retention_ms : int
+        Time for which the state of an ended job is kept.
+    absent_worker_retention_ms : int
+        Silence after which a worker is removed from the log.
+    """
+
+    lease_ms: int = 4_000
+    hold_wait_ms: int = 1_000
+    order_timeout_ms: int = 800
+    retry_ms: int = 150
+    clock_rate_min: float = 0.98
+    lease_margin_ms: int = 100
+    late_order_ms: int = 12_000
+    stop_limit_ms: int = 900
+    finished_job_retention_ms: int = 120_000
+    absent_worker_retention_ms: int = 30_000
--- a/src/sardinespool/errors/configuration.py
+++ b/src/sardinespool/errors/configuration.py
@@ -47,3 +47,9 @@
 
 class InvalidChangeError(ConfigurationError):
     """A change has an unknown section or a value of the wrong form."""
+
+
+class InvalidManifestError(ConfigurationError):
+    """A manifest can't be read in full or contradicts itself."""
+
+    http_status = 400
--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -47,3 +47,21 @@
     """The reporting group was replaced after the loss of its disks."""
 
     http_status = 409
+
+
+class QueueNotFoundError(TaskError):
+    """No queue of the manifest in force has this address."""
+
+    http_status = 404
+
+
+class JobGoneError(TaskError):
+    """No job of this id is stored."""
+
+    http_status = 410
+
+
+class WaveNotFoundError(TaskError):
+    """No maintenance wave has this id."""
+
+    http_status = 404
--- a/src/sardinespool/errors/transport.py
+++ b/src/sardinespool/errors/transport.py
@@ -35,6 +35,10 @@
     """The connection ended before the reply."""
 
 
+class UnreachableError(ConnectionLostError):
+    """There is no connection to the address; nothing was sent."""
+
+
 class CallTimeoutError(TransportError):
     """No reply arrived before the deadline."""
 
--- a/src/sardinespool/groups/contract.py
+++ b/src/sardinespool/groups/contract.py
@@ -63,7 +63,10 @@
         """Return the reply to a request whose proposal was applied."""
 
     def tick(self, now: Instant) -> list[CommandBody]:
-        """Return commands that time has made due; called every 100 ms.
+        """Return commands that time has made due.
 
         A command is returned again until its effect has been applied.
         """
+
+    def applied(self, body: CommandBody, result: Reply, now: Instant) -> None:
+        """Take the result of a command that `tick` returned."""
--- /dev/null
+++ b/src/sardinespool/groups/control_machine.py
@@ -0,0 +1,158 @@
+"""Replicated state of a control group."""
+
+from sardinespool.errors.configuration import InvalidManifestError
+from sardinespool.errors.tasks import QueueNotFoundError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.groups.refusal import refused
+from sardinespool.messages import codec
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import FormGroup
+from sardinespool.messages.fleet import DropWorker
+from sardinespool.messages.fleet import PutWorker
+from sardinespool.messages.fleet import WorkerDescription
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.manifest import SetEvacuation
+from sardinespool.messages.manifest import StartWave
+from sardinespool.messages.tasks import Accepted
+from sardinespool.messages.workflows import AcceptWorkflow
+from sardinespool.messages.workflows import EndWorkflow
+from sardinespool.messages.workflows import RecordRuns
+from sardinespool.messages.workflows import WorkflowStatus
+from sardinespool.workflows.manifest import check_manifest
+from sardinespool.workflows.manifest import ManifestState
+from sardinespool.workflows.records import WorkflowRecord
+from sardinespool.workflows.snapshot import ControlImage
+from sardinespool.workflows.snapshot import decode_image
+from sardinespool.workflows.snapshot import image_of
+from sardinespool.workflows.snapshot import workflow_of
+from sardinespool.workflows.table import WorkflowTable
+
+
+class ControlMachine:
+    """Manifest, jobs, workers, evacuations and waves.
+
+    Attributes
+    ----------
+    group_incarnation : str
+        Empty until the group is formed.
+    evacuated : set of str
+        Failure domains whose workers get nothing more.
+    workers : dict of str to WorkerDescription
+        The newest known life of each worker.
+    waves : dict of int to StartWave
+        Maintenance waves that were asked for.
+    """
+
+    def __init__(self) -> None:
+        self.group_incarnation = ""
+        self.manifest = ManifestState()
+        self.table = WorkflowTable()
+        self.evacuated: set[str] = set()
+        self.workers: dict[str, WorkerDescription] = {}
+        self.waves: dict[int, StartWave] = {}
+
+    def queue_of(self, workflow: WorkflowRecord) -> QueueSpec:
+        """Return the queue of a job as the version in force has it."""
+        return self.manifest.queue_named(workflow.queue.name) or workflow.queue
+
+    def failures_max(self, workflow: WorkflowRecord) -> int:
+        """Return the failed runs of a task after which its job failed."""
+        return self.queue_of(workflow).failures_max
+
+    def apply(self, command: Command, index: int) -> Reply:
+        """Apply a committed command; see `GroupMachine`."""
+        now_unix_ms = command.proposed_unix_ms
+        match command.body:
+            case RecordRuns() as body:
+                return self.table.record_runs(
+                    body, now_unix_ms, self.failures_max
+                )
+            case AcceptWorkflow() as body:
+                return self._accept(body, now_unix_ms)
+            case EndWorkflow(job_id=job_id):
+                workflow = self.table.cancel(job_id, now_unix_ms)
+                state = "cancelled" if workflow is None else workflow.state
+                return WorkflowStatus(job_id=job_id, state=state)
+            case PublishManifest() as body:
+                return self._publish(body)
+            case SetEvacuation(failure_domain=domain, evacuated=evacuated):
+                if evacuated:
+                    self.evacuated.add(domain)
+                else:
+                    self.evacuated.discard(domain)
+            case StartWave() as body:
+                self.waves.setdefault(body.wave_id, body)
+            case PutWorker(description=description):
+                self._put_worker(description)
+            case DropWorker() as body:
+                known = self.workers.get(body.worker_id)
+                if known is not None and known.life == body.life:
+                    del self.workers[body.worker_id]
+            case FormGroup(group_incarnation=incarnation):
+                self.group_incarnation = self.group_incarnation or incarnation
+            case _:
+                return refused(
+                    InvalidMessageError(
+                        "A control group does not know this command.",
+                        command=type(command.body).__name__,
+                    )
+                )
+        return Accepted()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return codec.encode_state(
+            ControlImage(
+                group_incarnation=self.group_incarnation,
+                manifest=self.manifest.current,
+                evacuated=tuple(sorted(self.evacuated)),
+                workers=tuple(self.workers.values()),
+                waves=tuple(self.waves.values()),
+                workflows=tuple(
+                    image_of(item) for item in self.table.workflows.values()
+                ),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state with that of a snapshot."""
+        image = decode_image(data)
+        self.group_incarnation = image.group_incarnation
+        self.manifest = ManifestState()
+        if image.manifest is not None:
+            self.manifest.put(image.manifest)
+        self.evacuated = set(image.evacuated)
+        self.workers = {item.worker_id: item for item in image.workers}
+        self.waves = {item.wave_id: item for item in image.waves}
+        self.table = WorkflowTable()
+        self.table.workflows = {
+            item.job_id: workflow_of(item) for item in image.workflows
+        }
+        self.table.restore_indexes()
+
+    def _accept(self, body: AcceptWorkflow, now_unix_ms: int) -> Reply:
+        stored = self.table.workflows.get(body.job_id)
+        if stored is not None:
+            return WorkflowStatus(job_id=body.job_id, state=stored.state)
+        queue = self.manifest.queue_named(body.queue)
+        if queue is None:
+            return refused(
+                QueueNotFoundError("The queue was removed.", queue=body.queue)
+            )
+        workflow = self.table.accept(body, queue, now_unix_ms)
+        return WorkflowStatus(job_id=body.job_id, state=workflow.state)
+
+    def _publish(self, body: PublishManifest) -> Reply:
+        try:
+            check_manifest(body)
+        except InvalidManifestError as error:
+            return refused(error)
+        self.manifest.put(body)
+        return Accepted()
+
+    def _put_worker(self, description: WorkerDescription) -> None:
+        known = self.workers.get(description.worker_id)
+        if known is None or description.life >= known.life:
+            self.workers[description.worker_id] = description
--- a/src/sardinespool/groups/domain_service.py
+++ b/src/sardinespool/groups/domain_service.py
@@ -150,6 +150,9 @@
             return self._heartbeat_reply(request)
         return result
 
+    def applied(self, body: CommandBody, result: Reply, now: Instant) -> None:
+        """Ignore the result: the machine's state tells all."""
+
     def tick(self, now: Instant) -> list[CommandBody]:
         """Return commands that time has made due; see `GroupService`."""
         machine = self._machine
--- a/src/sardinespool/groups/global_service.py
+++ b/src/sardinespool/groups/global_service.py
@@ -117,6 +117,9 @@
             return self._domain_sync(request, now)
         return result
 
+    def applied(self, body: CommandBody, result: Reply, now: Instant) -> None:
+        """Ignore the result: the machine's state tells all."""
+
     def tick(self, now: Instant) -> list[CommandBody]:
         """Return no command: the group's state changes on request only."""
         return []
--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -23,6 +23,8 @@
 from sardinespool.messages.configuration import VersionList
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
+from sardinespool.messages.fleet import ReportWorker
+from sardinespool.messages.fleet import WorkerLeaves
 from sardinespool.messages.jobs import CancelJob
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import JobList
@@ -30,6 +32,15 @@
 from sardinespool.messages.jobs import ListJobs
 from sardinespool.messages.jobs import SubmitJob
 from sardinespool.messages.jobs import SyncDomain
+from sardinespool.messages.manifest import ManifestCopy
+from sardinespool.messages.manifest import MemberList
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import ReadManifest
+from sardinespool.messages.manifest import ReadMembers
+from sardinespool.messages.manifest import ReadWave
+from sardinespool.messages.manifest import SetEvacuation
+from sardinespool.messages.manifest import StartWave
+from sardinespool.messages.manifest import WaveStatus
 from sardinespool.messages.requests import AbandonRequest
 from sardinespool.messages.requests import BeginReply
 from sardinespool.messages.requests import BeginRequest
@@ -50,6 +61,13 @@
 from sardinespool.messages.tasks import TaskList
 from sardinespool.messages.tasks import ThrottleTasks
 from sardinespool.messages.tasks import WorkerList
+from sardinespool.messages.workflows import CancelWorkflow
+from sardinespool.messages.workflows import CountWaiting
+from sardinespool.messages.workflows import ReadWorkflow
+from sardinespool.messages.workflows import RunsRecorded
+from sardinespool.messages.workflows import SubmitWorkflow
+from sardinespool.messages.workflows import WaitingCount
+from sardinespool.messages.workflows import WorkflowStatus
 
 Request = (
     SubmitPatch
@@ -78,6 +96,18 @@
     | FinishRequest
     | AbandonRequest
     | DumpState
+    | SubmitWorkflow
+    | ReadWorkflow
+    | CancelWorkflow
+    | CountWaiting
+    | PublishManifest
+    | ReadManifest
+    | SetEvacuation
+    | StartWave
+    | ReadWave
+    | ReadMembers
+    | ReportWorker
+    | WorkerLeaves
 )
 
 Reply = (
@@ -99,6 +129,12 @@
     | BeginReply
     | Accepted
     | StateDump
+    | WorkflowStatus
+    | WaitingCount
+    | RunsRecorded
+    | ManifestCopy
+    | WaveStatus
+    | MemberList
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -115,6 +151,7 @@
     "decode_reply",
     "decode_request",
     "encode",
+    "encode_state",
 ]
 
 
@@ -145,3 +182,8 @@
         return _COMMANDS.decode(data)
     except msgspec.MsgspecError as error:
         raise InvalidMessageError(str(error)) from error
+
+
+def encode_state(state: msgspec.Struct) -> bytes:
+    """Encode the state of a machine for a snapshot."""
+    return _ENCODER.encode(state)
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -11,11 +11,16 @@
 from sardinespool.messages.configuration import Configuration
 from sardinespool.messages.configuration import RejectPatch
 from sardinespool.messages.configuration import SubmitPatch
+from sardinespool.messages.fleet import DropWorker
+from sardinespool.messages.fleet import PutWorker
 from sardinespool.messages.jobs import CancelJob
 from sardinespool.messages.jobs import JobChange
 from sardinespool.messages.jobs import ReleaseId
 from sardinespool.messages.jobs import SubmitJob
 from sardinespool.messages.jobs import SyncDomain
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import SetEvacuation
+from sardinespool.messages.manifest import StartWave
 from sardinespool.messages.requests import AbandonRequest
 from sardinespool.messages.requests import BeginRequest
 from sardinespool.messages.requests import FinishRequest
@@ -26,6 +31,9 @@
 from sardinespool.messages.tasks import ReleaseJob
 from sardinespool.messages.tasks import RestrictStarts
 from sardinespool.messages.tasks import ThrottleTasks
+from sardinespool.messages.workflows import AcceptWorkflow
+from sardinespool.messages.workflows import EndWorkflow
+from sardinespool.messages.workflows import RecordRuns
 
 
 class FormGroup(Message, frozen=True, kw_only=True):
@@ -118,6 +126,14 @@
     | BeginRequest
     | FinishRequest
     | AbandonRequest
+    | AcceptWorkflow
+    | EndWorkflow
+    | RecordRuns
+    | PublishManifest
+    | SetEvacuation
+    | StartWave
+    | PutWorker
+    | DropWorker
 )
 
 
--- /dev/null
+++ b/src/sardinespool/platform/callers.py
@@ -0,0 +1,100 @@
+"""HTTP of the callers, at a front."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.manifest import ManifestCopy
+from sardinespool.messages.workflows import CancelWorkflow
+from sardinespool.messages.workflows import CountWaiting
+from sardinespool.messages.workflows import ReadWorkflow
+from sardinespool.messages.workflows import SubmitWorkflow
+from sardinespool.messages.workflows import WaitingCount
+from sardinespool.messages.workflows import WorkflowStatus
+from sardinespool.observability.logs import get_logger
+from sardinespool.platform.answers import error_answer
+from sardinespool.platform.answers import json_answer
+from sardinespool.platform.wire_jobs import decode_job
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_messages import HttpRequest
+from sardinespool.transport.http_server import ReceivedRequest
+
+_WAIT_HEADER = "X-Sardinespool-Request-Deadline"
+"""Milliseconds for which the caller waits, though its name says deadline."""
+WAIT_MAX_MS = 3_000
+"""Wait for callers that name none; the time budget of all queues so far."""
+ANSWER_MARGIN_MS = 20
+"""Time for the answer's way back; callers are 1 to 3 ms away."""
+
+_LOG = get_logger("front")
+
+CallGroup = Callable[[Request, int], Awaitable[Reply]]
+"""Calls the control group within a number of milliseconds."""
+
+
+class CallerHandler:
+    """Decodes callers' requests and encodes the group's replies."""
+
+    def __init__(self, call: CallGroup) -> None:
+        self._call = call
+
+    async def __call__(self, received: ReceivedRequest) -> HttpAnswer:
+        """Answer one request."""
+        request = received.request
+        if received.too_large:
+            return json_answer(413, {"error": "body-too-large"})
+        try:
+            message = _decode(request)
+            if message is None:
+                return json_answer(405, {"error": "method-not-allowed"})
+            reply = await self._call(message, _wait_ms(request))
+        except SardinespoolError as error:
+            answer = error_answer(error)
+            _LOG.info(
+                "refused",
+                method=request.method,
+                path=request.target,
+                code=error.code,
+                status=answer.status,
+            )
+            return answer
+        return _encode(reply)
+
+
+def _decode(request: HttpRequest) -> Request | None:
+    host = (request.header("Host") or "").partition(":")[0].lower()
+    path = request.target.partition("?")[0]
+    match request.method:
+        case "POST":
+            spec = decode_job(request.body)
+            return SubmitWorkflow(host=host, path=path, spec=spec)
+        case "DELETE":
+            return CancelWorkflow(host=host, path=path)
+        case "GET" if path.endswith("/"):
+            return CountWaiting(host=host, path=path)
+        case "GET":
+            return ReadWorkflow(host=host, path=path)
+        case _:
+            return None
+
+
+def _encode(reply: Reply) -> HttpAnswer:
+    match reply:
+        case WorkflowStatus(state=state):
+            return json_answer(200, {"state": state})
+        case WaitingCount(waiting=waiting):
+            return json_answer(200, {"waiting": waiting})
+        case ManifestCopy(source=source):
+            return HttpAnswer(
+                200, (("Content-Type", "application/json"),), source
+            )
+        case _:
+            return json_answer(200, {})
+
+
+def _wait_ms(request: HttpRequest) -> int:
+    text = request.header(_WAIT_HEADER) or ""
+    wait_ms = int(text) if text.isascii() and text.isdigit() else WAIT_MAX_MS
+    return max(1, min(wait_ms, WAIT_MAX_MS) - ANSWER_MARGIN_MS)
--- /dev/null
+++ b/src/sardinespool/platform/control.py
@@ -0,0 +1,92 @@
+"""HTTP of workers and operators, at a core machine."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.fleet import WorkerLeaves
+from sardinespool.messages.manifest import ManifestCopy
+from sardinespool.messages.manifest import ReadManifest
+from sardinespool.messages.manifest import SetEvacuation
+from sardinespool.observability.logs import get_logger
+from sardinespool.platform.answers import error_answer
+from sardinespool.platform.answers import json_answer
+from sardinespool.platform.wire_operator import decode_manifest
+from sardinespool.platform.wire_workers import decode_heartbeat
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_messages import HttpRequest
+from sardinespool.transport.http_server import ReceivedRequest
+
+CALL_TIMEOUT_MS = 900
+"""Callers move on to another machine after a second."""
+
+_LOG = get_logger("control")
+
+
+class ControlHandler:
+    """Decodes requests of workers and operators.
+
+    Parameters
+    ----------
+    call : callable
+        Calls the control group within a number of milliseconds.
+    heartbeat_address : callable
+        Returns the control address of the leader, or "".
+    """
+
+    def __init__(
+        self,
+        call: Callable[[Request, int], Awaitable[Reply]],
+        heartbeat_address: Callable[[], str],
+    ) -> None:
+        self._call = call
+        self._heartbeat_address = heartbeat_address
+
+    async def __call__(self, received: ReceivedRequest) -> HttpAnswer:
+        """Answer one request."""
+        if received.too_large:
+            return json_answer(413, {"error": "body-too-large"})
+        request = received.request
+        try:
+            message = _decode(request)
+            if message is None:
+                return json_answer(404, {"error": "no-such-call"})
+            reply = await self._call(message, CALL_TIMEOUT_MS)
+        except SardinespoolError as error:
+            answer = error_answer(error)
+            _LOG.info(
+                "refused",
+                path=request.target,
+                code=error.code,
+                status=answer.status,
+                text=error.text,
+            )
+            return answer
+        if isinstance(reply, ManifestCopy):
+            json = ("Content-Type", "application/json")
+            return HttpAnswer(200, (json,), reply.source)
+        address = self._heartbeat_address()
+        if request.target.endswith("/heartbeat") and address:
+            return json_answer(200, {"heartbeat_address": address})
+        return json_answer(200, {})
+
+
+def _decode(request: HttpRequest) -> Request | None:
+    parts = tuple(request.target.partition("?")[0].strip("/").split("/"))
+    match request.method, parts:
+        case "POST", ("api", "instances", worker_id, "heartbeat"):
+            return decode_heartbeat(worker_id, request.body)
+        case "POST", ("api", "instances", worker_id, "leave"):
+            return WorkerLeaves(worker_id=worker_id)
+        case "POST", ("api", "configuration", "replace"):
+            return decode_manifest(request.body)
+        case "GET", ("api", "configuration", "read"):
+            return ReadManifest()
+        case "POST", ("api", "evacuation", zone, "start" | "finish" as verb):
+            return SetEvacuation(
+                failure_domain=zone, evacuated=verb == "start"
+            )
+        case _:
+            return None
--- /dev/null
+++ b/src/sardinespool/platform/core.py
@@ -0,0 +1,92 @@
+"""The process on a core machine."""
+
+import asyncio
+import pathlib
+
+from sardinespool.errors.settings import SettingsError
+from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
+from sardinespool.platform.control import ControlHandler
+from sardinespool.platform.settings import PlatformSettings
+from sardinespool.platform.worker_client import WorkerClient
+from sardinespool.programs.controller.controller_process import (
+    ControllerProcess,
+)
+from sardinespool.programs.controller.settings import CONTROL_GROUP
+from sardinespool.programs.controller.settings import ControllerSettings
+from sardinespool.transport.http_connections import HttpConnections
+from sardinespool.transport.http_server import HttpListener
+from sardinespool.transport.http_server import ServerLimits
+
+BODY_LIMIT_BYTES = 4 * 1_048_576
+"""Largest manifest: some thousand queues of 300 bytes."""
+LINGER_S = 0.5
+
+_LOG = get_logger("core")
+
+
+class CoreProcess:
+    """Member of the control group with its control interface.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings of the process.
+
+    Raises
+    ------
+    SettingsError
+        The settings name no data folder.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        if settings.data_folder is None:
+            raise SettingsError("A core machine needs a data folder.")
+        self._settings = settings
+        self._controller = ControllerProcess(
+            ControllerSettings(
+                address=settings.internal_address,
+                peers=settings.peers,
+                bootstrap=settings.first_start
+                and settings.internal_address in settings.peers,
+                data_folder=pathlib.Path(settings.data_folder),
+                cluster_token=CONTROL_GROUP,
+            ),
+            WorkerClient(HttpConnections()),
+            Metrics("controller", settings.node),
+        )
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until `stopping` is set, then end gracefully."""
+        control = HttpListener(
+            self._settings.listen.control,
+            ControlHandler(self._controller.call, self._heartbeat_address),
+            ServerLimits(BODY_LIMIT_BYTES),
+        )
+        self._controller.start()
+        control.start()
+        _LOG.info(
+            "started",
+            node=self._settings.node,
+            address=self._settings.internal_address,
+            first_start=self._settings.first_start,
+        )
+        waiting = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [waiting, self._controller.ended],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if self._controller.ended.done():
+            # The files of the group can't be used any more.
+            await self._controller.ended
+        _LOG.info("stopping", node=self._settings.node)
+        await self._controller.hand_over()
+        control.close_after_answers()
+        await control.linger(LINGER_S)
+        await control.stop()
+        await self._controller.stop()
+        _LOG.info("stopped", node=self._settings.node)
+
+    def _heartbeat_address(self) -> str:
+        leader = self._controller.leader
+        return self._settings.control_address_of(leader) if leader else ""
--- /dev/null
+++ b/src/sardinespool/platform/front.py
@@ -0,0 +1,119 @@
+"""The process on a front machine."""
+
+import asyncio
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.manifest import MemberList
+from sardinespool.messages.manifest import ReadMembers
+from sardinespool.observability.logs import get_logger
+from sardinespool.platform.answers import json_answer
+from sardinespool.platform.callers import CallerHandler
+from sardinespool.platform.settings import PlatformSettings
+from sardinespool.programs.controller.controller_process import cluster_of
+from sardinespool.programs.controller.settings import CONTROL_GROUP
+from sardinespool.transport import system_clock
+from sardinespool.transport.connector import Connector
+from sardinespool.transport.http_messages import HttpAnswer
+from sardinespool.transport.http_server import HttpListener
+from sardinespool.transport.http_server import ReceivedRequest
+from sardinespool.transport.http_server import ServerLimits
+from sardinespool.transport.rpc_client import GroupClient
+
+BODY_LIMIT_BYTES = 262_144
+"""The body limit of the manifests so far; jobs are far below."""
+PROBE_INTERVAL_MS = 700
+"""Pause between two questions to the leader; readiness is asked every 1 s."""
+READY_FOR_MS = 2_200
+"""Age up to which the leader's last answer counts; three probes."""
+PROBE_TIMEOUT_MS = 700
+UNREADY_BEFORE_STOP_MS = 2_300
+"""The balancer takes a machine out after two probes, one a second."""
+LINGER_S = 1.0
+
+_LOG = get_logger("front")
+
+
+class FrontProcess:
+    """Takes callers' requests and forwards them to the leader.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Settings of the process.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._connector = Connector(
+            cluster_of(CONTROL_GROUP), "front", settings.node
+        )
+        self._client = GroupClient(
+            CONTROL_GROUP,
+            {peer: peer for peer in settings.peers},
+            self._connector,
+            names_are_addresses=True,
+        )
+        self._answered_boot_ms: int | None = None
+        self._stopping = False
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until `stopping` is set, then end gracefully."""
+        limits = ServerLimits(BODY_LIMIT_BYTES)
+        callers = HttpListener(
+            self._settings.listen.callers, CallerHandler(self._call), limits
+        )
+        readiness = HttpListener(
+            self._settings.listen.readiness, self._readiness, limits
+        )
+        callers.start()
+        readiness.start()
+        probing = asyncio.create_task(self._probe())
+        _LOG.info("started", node=self._settings.node)
+        await stopping.wait()
+        self._stopping = True
+        _LOG.info("stopping", node=self._settings.node)
+        await asyncio.sleep(UNREADY_BEFORE_STOP_MS / 1000)
+        callers.close_after_answers()
+        await callers.linger(LINGER_S)
+        await callers.stop()
+        probing.cancel()
+        await readiness.stop()
+        await self._connector.close()
+        _LOG.info("stopped", node=self._settings.node)
+
+    async def _call(self, request: Request, timeout_ms: int) -> Reply:
+        deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
+        return await self._client.call(request, deadline_unix_ms)
+
+    async def _probe(self) -> None:
+        ready = False
+        while True:
+            try:
+                reply = await self._call(ReadMembers(), PROBE_TIMEOUT_MS)
+            except SardinespoolError as error:
+                if ready:
+                    _LOG.warning("leader lost", code=error.code)
+                ready = False
+            else:
+                self._answered_boot_ms = system_clock.now().boot_ms
+                if isinstance(reply, MemberList):
+                    self._client.add_members(reply.members)
+                    if not ready:
+                        _LOG.info(
+                            "leader found",
+                            leader=self._client.leader,
+                            manifest_version=reply.manifest_version,
+                        )
+                    ready = reply.manifest_version >= 0
+            await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
+
+    async def _readiness(self, received: ReceivedRequest) -> HttpAnswer:
+        now_boot_ms = system_clock.now().boot_ms
+        ready = (
+            not self._stopping
+            and self._answered_boot_ms is not None
+            and now_boot_ms - self._answered_boot_ms < READY_FOR_MS
+        )
+        return json_answer(200 if ready else 503, {"ready": ready})
--- /dev/null
+++ b/src/sardinespool/platform/main.py
@@ -0,0 +1,65 @@
+"""Entry point of the processes on the platform."""
+
+import asyncio
+import gc
+import os
+import pathlib
+import signal
+import sys
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.observability.logs import configure_logs
+from sardinespool.observability.logs import get_logger
+from sardinespool.platform.settings import load_platform_settings
+from sardinespool.platform.settings import PlatformSettings
+from sardinespool.platform.settings import SETTINGS_VARIABLE
+
+EXIT_FAILED = 1
+GC_THRESHOLD = 20_000
+"""Allocations between two collections.
+
+Almost everything is freed by reference counts; a collection of all objects
+takes tens of milliseconds on a small machine.
+"""
+
+_LOG = get_logger("main")
+
+
+def main() -> None:
+    """Run the role that the command line names: ``front`` or ``core``."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    configure_logs()
+    try:
+        path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+        settings = load_platform_settings(path)
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD, 20, 50)
+        asyncio.run(_run(role, settings))
+    except SardinespoolError as error:
+        _LOG.error(error.text, **{**error.details, "code": error.code})
+        sys.exit(EXIT_FAILED)
+    except OSError as error:
+        _LOG.error("The operating system refused a call.", reason=error)
+        sys.exit(EXIT_FAILED)
+
+
+async def _run(role: str, settings: PlatformSettings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    # The settings hold nothing that may change while the process runs, but
+    # the seeds, which are needed at the start only.
+    loop.add_signal_handler(signal.SIGHUP, _LOG.info, "reload")
+    # Each role imports only what it uses.
+    match role:
+        case "front":
+            from sardinespool.platform.front import FrontProcess
+
+            await FrontProcess(settings).run(stopping)
+        case "core":
+            from sardinespool.platform.core import CoreProcess
+
+            await CoreProcess(settings).run(stopping)
+        case _:
+            raise SardinespoolError("Unknown role.", role=role)
--- /dev/null
+++ b/src/sardinespool/platform/settings.py
@@ -0,0 +1,90 @@
+"""The platform's settings file."""
+
+import pathlib
+import typing
+
+import msgspec
+import yaml
+
+from sardinespool.errors.settings import SettingsError
+from sardinespool.settings.addresses import split_address
+
+SETTINGS_VARIABLE = "SARDINESPOOL_BOOT"
+"""Environment variable with the path of the settings file."""
+
+
+class Listen(msgspec.Struct, frozen=True):
+    """Addresses that others call, as ``ip:port``; "" if not served."""
+
+    callers: str = msgspec.field(name="front", default="")
+    readiness: str = msgspec.field(name="ready", default="")
+    control: str = ""
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """Settings of one process; fields that are not listed are ignored.
+
+    Attributes
+    ----------
+    internal_ports : tuple of int
+        First and last port for the processes' own protocol; the same on all
+        machines.
+    seeds : tuple of str
+        Control addresses of up to three core machines, possibly stale.
+    first_start : bool
+        Whether the whole system starts for the first time, with empty disks.
+    limits_ms : dict
+        The bounds that the platform checks, by its own names; mostly in
+        milliseconds.
+    """
+
+    node: str
+    role: str
+    ip: str = msgspec.field(name="ip_address")
+    failure_domain: str = msgspec.field(name="zone")
+    listen: Listen
+    internal_ports: tuple[int, int] = msgspec.field(name="internal_port_range")
+    seeds: tuple[str, ...]
+    first_start: bool = False
+    data_folder: str | None = msgspec.field(
+        name="data_directory", default=None
+    )
+    bounds: dict[str, float | bool] = {}
+
+    @property
+    def internal_address(self) -> str:
+        """Address for the other processes of the system."""
+        return f"{self.ip}:{self.internal_ports[0]}"
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Internal addresses of the machines in `seeds`."""
+        return tuple(
+            f"{split_address(seed)[0]}:{self.internal_ports[0]}"
+            for seed in self.seeds
+        )
+
+    def control_address_of(self, internal_address: str) -> str:
+        """Return the control address of a member; the ports are alike."""
+        _, port = split_address(self.listen.control)
+        return f"{split_address(internal_address)[0]}:{port}"
+
+
+def load_platform_settings(path: pathlib.Path) -> PlatformSettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read or lacks a field.
+    """
+    try:
+        raw: typing.Any = yaml.load(path.read_bytes(), _LOADER)
+        return msgspec.convert(raw, PlatformSettings)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
+        raise SettingsError(
+            f"The platform's settings can't be used: {error}", file=str(path)
+        ) from error
+
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
--- /dev/null
+++ b/src/sardinespool/platform/wire_jobs.py
@@ -0,0 +1,88 @@
+"""Bodies of callers."""
+
+import msgspec
+
+from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.messages.workflows import WorkflowSpec
+
+
+class _Step(msgspec.Struct, frozen=True):
+    count: int = 0
+    # Thousandths of a core.
+    cpu: int = 0
+    requested_memory_mb: int = 0
+    gpus: int = 0
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang_scheduled: bool = False
+    same_rack: bool = False
+    # A label that the worker must have, not a list of demands.
+    requirements: str = ""
+    data_rack: str = ""
+    # At most this many tasks of the step on one worker.
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    # Target of the tail of the response times, not of the run.
+    target_ms: int = 0
+    # The step's processors are not reserved.
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, frozen=True):
+    task_spec: str
+    steps: tuple[_Step, ...]
+    repetitions: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Job)
+
+
+def decode_job(body: bytes) -> WorkflowSpec:
+    """Decode a submitted job.
+
+    Raises
+    ------
+    InvalidJobError
+        The body is not a job.
+    """
+    try:
+        job = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        raise InvalidJobError(f"The body is not a job: {error}") from error
+    return WorkflowSpec(
+        payload=job.task_spec,
+        steps=tuple(_step(step) for step in job.steps),
+        repetitions=job.repetitions,
+        first_due_unix_ms=job.first_run_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def _step(step: _Step) -> StepSpec:
+    return StepSpec(
+        count=step.count,
+        processors_millicores=step.cpu,
+        memory_mb=step.requested_memory_mb,
+        accelerators=step.gpus,
+        expected_run_ms=step.estimated_ms,
+        after=step.after,
+        checkpointing=step.checkpointing,
+        gang=step.gang_scheduled,
+        same_rack=step.same_rack,
+        speculative=step.speculative,
+        long_running=step.long_running,
+        uses_leftover_processors=step.fills,
+        tasks_per_worker_max=step.anti_affinity,
+        data_rack=step.data_rack,
+        required_label=step.requirements,
+        image=step.image,
+        tail_latency_target_ms=step.target_ms,
+        unavailable_max=step.may_miss,
+    )
--- /dev/null
+++ b/src/sardinespool/platform/wire_operator.py
@@ -0,0 +1,88 @@
+"""Bodies of operators."""
+
+import msgspec
+
+from sardinespool.errors.configuration import InvalidManifestError
+from sardinespool.messages.manifest import PoolSpec
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import QueueSpec
+
+
+class _Advice(msgspec.Struct, frozen=True):
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+    validity_ms: int = 0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    # The pool of workers that run the queue's tasks.
+    service: str
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    # Failed runs of a task after which its job has failed.
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    spare: bool = False
+
+
+class _Manifest(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+
+
+_DECODER = msgspec.json.Decoder(_Manifest)
+
+
+def decode_manifest(body: bytes) -> PublishManifest:
+    """Decode a whole manifest; its bytes are kept for reading it back.
+
+    Raises
+    ------
+    InvalidManifestError
+        The body can't be read in full or a timeout is not above 0.
+    """
+    try:
+        manifest = _DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        raise InvalidManifestError(
+            f"The manifest can't be read: {error}"
+        ) from error
+    for route in manifest.routes:
+        if route.timeout_ms <= 0:
+            raise InvalidManifestError(
+                "A queue has no timeout.", queue=route.name
+            )
+    return PublishManifest(
+        version=manifest.version,
+        queues=tuple(_queue(route) for route in manifest.routes),
+        pools=tuple(
+            PoolSpec(name=item.name, spare=item.spare)
+            for item in manifest.services
+        ),
+        source=body,
+    )
+
+
+def _queue(route: _Route) -> QueueSpec:
+    return QueueSpec(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        pool=route.service,
+        priority=route.priority,
+        failures_max=route.max_attempts,
+        stretch=route.stretch,
+        latency_objective_ms=route.target_latency_ms,
+        needs_advice=route.advice is not None,
+        advice_validity_ms=route.advice.validity_ms if route.advice else 0,
+    )
--- /dev/null
+++ b/src/sardinespool/programs/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Member of a control group; the leader drives workers by calls."""
--- /dev/null
+++ b/src/sardinespool/programs/controller/controller_process.py
@@ -0,0 +1,229 @@
+"""One member of a control group, as a part of a process."""
+
+import asyncio
+import zlib
+
+from sardinespool.dispatch.control_service import ControlService
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.transport import NotReadyError
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
+from sardinespool.programs.controller.settings import CONTROL_GROUP
+from sardinespool.programs.controller.settings import ControllerSettings
+from sardinespool.programs.controller.worker_caller import WorkerCaller
+from sardinespool.programs.controller.worker_links import WorkerLink
+from sardinespool.programs.controller.worker_links import WorkerLinks
+from sardinespool.programs.store.group_batches import GroupBatches
+from sardinespool.programs.store.group_endpoint import GroupEndpoint
+from sardinespool.programs.store.group_runner import GroupRunner
+from sardinespool.programs.store.store_metrics import StoreMetrics
+from sardinespool.replication import messages as peer_messages
+from sardinespool.replication.identity import name_of
+from sardinespool.replication.messages import PeerMessage
+from sardinespool.replication.replica import Replica
+from sardinespool.replication.settings import ReplicaSettings
+from sardinespool.settings.model import ClusterSettings
+from sardinespool.storage.group_store import GroupStore
+from sardinespool.transport import system_clock
+from sardinespool.transport.connector import Connector
+from sardinespool.transport.frame_server import FrameServer
+from sardinespool.transport.rpc_client import GroupClient
+
+LINKS_SWEEP_INTERVAL_MS = 1_000
+TRANSFER_TIMEOUT_MS = 1_000
+"""Time for another member to take over; an election takes 1.5 s at most."""
+PLANNING_INTERVAL_MS = 2
+"""Shortest time between two planning passes."""
+
+_LOG = get_logger("controller")
+
+
+class ControllerProcess:
+    """Replica, dispatcher and connections of one member.
+
+    Parameters
+    ----------
+    settings : ControllerSettings
+        Checked settings.
+    caller : WorkerCaller
+        Sends orders to workers.
+    metrics : Metrics
+        Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        caller: WorkerCaller,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._caller = caller
+        self._store_metrics = StoreMetrics(metrics)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        cluster = cluster_of(settings.cluster_token)
+        self._connector = Connector(cluster, "controller", settings.address)
+        self._machine = ControlMachine()
+        self._links = WorkerLinks(self._make_link)
+        self._dispatcher = Dispatcher(
+            self._machine, settings.dispatch, self._links.wake
+        )
+        self._runner = GroupRunner(self._make_batches())
+        self._server = FrameServer(
+            settings.cluster_token,
+            GroupEndpoint(
+                {CONTROL_GROUP: self._runner},
+                self._store_metrics,
+                self._stopping,
+            ),
+            None,
+        )
+        self._client = GroupClient(
+            CONTROL_GROUP,
+            {peer: peer for peer in settings.peers},
+            self._connector,
+            names_are_addresses=True,
+        )
+
+    @property
+    def leader(self) -> str:
+        """Address of the leader, or ""."""
+        return name_of(self._runner.status.leader)
+
+    @property
+    def ended(self) -> asyncio.Task[None]:
+        """Task of the group; it ends by itself only after a fault."""
+        return self._tasks[0]
+
+    def start(self) -> None:
+        """Listen and join the group."""
+        self._tasks.append(asyncio.create_task(self._runner.run()))
+        self._tasks.append(asyncio.create_task(self._sweep_links()))
+        self._server.start_listening(self._settings.address)
+
+    async def call(self, request: Request, timeout_ms: int) -> Reply:
+        """Serve a request here if this member leads, else at the leader.
+
+        Raises
+        ------
+        SardinespoolError
+            The request is refused, or no leader answered in time.
+        """
+        if self._runner.serving:
+            try:
+                async with asyncio.timeout(timeout_ms / 1000):
+                    return await self._runner.call(request)
+            except NotLeaderError:
+                # The lease ended meanwhile; another member may lead.
+                pass
+            except TimeoutError as error:
+                raise NotReadyError("No answer in time.") from error
+        if self._stopping.is_set() and not self.leader:
+            raise NotReadyError("The process is stopping.")
+        if self.leader and self.leader != self._settings.address:
+            self._client.prefer(self.leader)
+        deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
+        return await self._client.call(request, deadline_unix_ms)
+
+    async def hand_over(self) -> None:
+        """Let another member lead, if this one does."""
+        self._stopping.set()
+        runner = self._runner
+        if not runner.serving or len(runner.status.voters) < 2:
+            return
+        await runner.transfer_leadership()
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_MS / 1000):
+                await runner.not_serving.wait()
+        except TimeoutError:
+            _LOG.warning("no member took over before the stop")
+
+    async def stop(self) -> None:
+        """End all tasks and close all connections."""
+        self._links.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._server.close()
+        await self._connector.close()
+
+    def _make_link(self, worker_id: str) -> WorkerLink:
+        return WorkerLink(
+            worker_id,
+            self._dispatcher,
+            self._caller,
+            self._settings.dispatch,
+            lambda: self._runner.serving,
+            self._runner.wake,
+        )
+
+    def _make_batches(self) -> GroupBatches:
+        settings = self._settings
+        store = GroupStore(settings.data_folder / CONTROL_GROUP)
+        state = store.load()
+        timing = settings.replication
+        replica = Replica(
+            ReplicaSettings(
+                group=CONTROL_GROUP,
+                name=settings.address,
+                peers=tuple(
+                    peer for peer in settings.peers if peer != settings.address
+                ),
+                bootstrap=settings.bootstrap,
+                open_membership=True,
+                heartbeat_interval_ms=timing.heartbeat_interval_ms,
+                lease_ms=timing.lease_ms,
+                election_timeout_min_ms=timing.election_timeout_min_ms,
+                election_timeout_max_ms=timing.election_timeout_max_ms,
+            ),
+            state,
+            zlib.crc32(settings.address.encode()),
+            system_clock.now(),
+        )
+
+        def send(name: str, message: PeerMessage) -> None:
+            self._connector.send_peer(
+                name,
+                CONTROL_GROUP,
+                settings.address,
+                peer_messages.encode_peer_message(message),
+            )
+
+        return GroupBatches(
+            CONTROL_GROUP,
+            replica,
+            store,
+            self._machine,
+            ControlService(self._machine, self._dispatcher, replica.status),
+            send,
+            system_clock.now,
+            self._store_metrics,
+            state.snapshot,
+            timing.snapshot_every_entries,
+            reformed=False,
+            service_tick_interval_ms=PLANNING_INTERVAL_MS,
+        )
+
+    async def _sweep_links(self) -> None:
+        while True:
+            await asyncio.sleep(LINKS_SWEEP_INTERVAL_MS / 1000)
+            self._links.keep(set(self._dispatcher.fleet.workers))
+
+
+def cluster_of(token: str) -> ClusterSettings:
+    """Return cluster settings that hold only a token.
+
+    Members of a control group find each other, so the settings name none.
+    """
+    return ClusterSettings(
+        failure_domains=(),
+        stores=(),
+        entries=(),
+        cluster_token=token,
+        credentials=(),
+    )
--- a/src/sardinespool/programs/store/group_batches.py
+++ b/src/sardinespool/programs/store/group_batches.py
@@ -28,6 +28,7 @@
 from sardinespool.programs.store.runner_events import SyncReceived
 from sardinespool.programs.store.runner_events import SyncRequested
 from sardinespool.programs.store.runner_events import TransferRequested
+from sardinespool.programs.store.runner_events import Woken
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication import effects as replica_effects
 from sardinespool.replication import events as replica_events
@@ -74,6 +75,8 @@
         Applied entries between two snapshots.
     reformed : bool
         The group is formed again after the loss of all its disks.
+    service_tick_interval_ms : int
+        Shortest time between two questions for the leader's own commands.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         snapshot: Snapshot | None,
         snapshot_every_entries: int,
         reformed: bool,
+        service_tick_interval_ms: int = SERVICE_TICK_INTERVAL_MS,
     ) -> None:
         self.group = group
         self.not_serving = asyncio.Event()
@@ -102,6 +106,7 @@
         self._metrics = metrics
         self._snapshot_every_entries = snapshot_every_entries
         self._reformed = reformed
+        self._service_tick_interval_ms = service_tick_interval_ms
         self._pending = PendingProposals()
         self._internal_pending = 0
         self._serving = False
@@ -157,7 +162,7 @@
                     effects += self._replica.handle(
                         replica_events.TransferLeadership(), now
                     )
-                case PeerReceived():
+                case PeerReceived() | Woken():
                     pass
         self._add_due_commands(now, bodies)
         effects += self._propose(bodies, now)
@@ -239,7 +244,7 @@
         if now.boot_ms < self._service_tick_deadline_boot_ms:
             return
         self._service_tick_deadline_boot_ms = (
-            now.boot_ms + SERVICE_TICK_INTERVAL_MS
+            now.boot_ms + self._service_tick_interval_ms
         )
         for body in self._service.tick(now):
             bodies.append((body, Waiter()))
@@ -333,6 +338,8 @@
             return
         if waiter.request is None:
             self._internal_pending = max(0, self._internal_pending - 1)
+            if self._serving:
+                self._service.applied(command.body, result, self._clock())
             return
         now = self._clock()
         # A reply can carry permits and leases, so the lease is checked
--- /dev/null
+++ b/src/sardinespool/programs/store/group_endpoint.py
@@ -0,0 +1,87 @@
+"""Calls and replication messages for the groups of one process."""
+
+import asyncio
+from collections.abc import Mapping
+
+from sardinespool.errors import SardinespoolError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.errors.transport import NotReadyError
+from sardinespool.groups.refusal import refused
+from sardinespool.messages import codec
+from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.group_runner import GroupRunner
+from sardinespool.programs.store.store_metrics import StoreMetrics
+from sardinespool.replication import messages as peer_messages
+from sardinespool.transport import system_clock
+
+_LOG = get_logger("store")
+
+
+class GroupEndpoint:
+    """Hands incoming frames to the runners of their groups.
+
+    Parameters
+    ----------
+    runners : mapping of str to GroupRunner
+        Runners by group; may grow later.
+    metrics : StoreMetrics
+        Metrics of the process.
+    stopping : asyncio.Event
+        Set once the process is stopping.
+    """
+
+    def __init__(
+        self,
+        runners: Mapping[str, GroupRunner],
+        metrics: StoreMetrics,
+        stopping: asyncio.Event,
+    ) -> None:
+        self._runners = runners
+        self._metrics = metrics
+        self._stopping = stopping
+
+    async def handle_call(
+        self, group: str, body: bytes, deadline_unix_ms: int
+    ) -> bytes:
+        """Return the encoded reply to a call."""
+        name = "unknown"
+        started = system_clock.now()
+        code = "ok"
+        try:
+            request = codec.decode_request(body)
+            name = type(request).__name__
+            reply = await self._runner(group).call(request)
+        except SardinespoolError as error:
+            code = error.code
+            reply = refused(error)
+        elapsed_ms = system_clock.now().boot_ms - started.boot_ms
+        self._metrics.calls.inc(request=name, code=code)
+        self._metrics.call_latency_ms.observe(elapsed_ms, request=name)
+        return codec.encode(reply)
+
+    def handle_peer(self, group: str, sender: str, body: bytes) -> None:
+        """Take a replication message."""
+        runner = self._runners.get(group)
+        if runner is None:
+            return
+        try:
+            message = peer_messages.decode_peer_message(body)
+        except SardinespoolError as error:
+            _LOG.warning(
+                "dropped a message",
+                group=group,
+                sender=sender,
+                code=error.code,
+            )
+            return
+        runner.deliver(sender, message)
+
+    def _runner(self, group: str) -> GroupRunner:
+        runner = self._runners.get(group)
+        if runner is None:
+            raise InvalidMessageError(
+                "The store is not a member of this group.", group=group
+            )
+        if self._stopping.is_set() and not runner.serving:
+            raise NotReadyError("The store is stopping.")
+        return runner
--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -13,6 +13,7 @@
 from sardinespool.programs.store.runner_events import SyncReceived
 from sardinespool.programs.store.runner_events import SyncRequested
 from sardinespool.programs.store.runner_events import TransferRequested
+from sardinespool.programs.store.runner_events import Woken
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.status import ReplicaStatus
 
@@ -90,6 +91,11 @@
         """Take the answer of the global group."""
         await self._queue.put(SyncReceived(reply))
 
+    def wake(self) -> None:
+        """Ask soon for the leader's own commands."""
+        if self._queue.empty():
+            self._queue.put_nowait(Woken())
+
     async def transfer_leadership(self) -> None:
         """Ask another member to lead, before this one stops."""
         await self._queue.put(TransferRequested())
--- a/src/sardinespool/programs/store/runner_events.py
+++ b/src/sardinespool/programs/store/runner_events.py
@@ -48,10 +48,16 @@
     """The process is stopping; another member shall lead."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Woken:
+    """The leader's own commands may have become due."""
+
+
 RunnerEvent = (
     CallReceived
     | PeerReceived
     | SyncRequested
     | SyncReceived
     | TransferRequested
+    | Woken
 )
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -7,7 +7,6 @@
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import InvalidMessageError
-from sardinespool.errors.transport import NotReadyError
 from sardinespool.groups.contract import GroupMachine
 from sardinespool.groups.contract import GroupService
 from sardinespool.groups.domain_machine import DomainMachine
@@ -15,7 +14,6 @@
 from sardinespool.groups.global_machine import GlobalMachine
 from sardinespool.groups.global_service import GlobalService
 from sardinespool.groups.refusal import refused
-from sardinespool.messages import codec
 from sardinespool.messages.commands import Refused
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
@@ -27,6 +25,7 @@
 from sardinespool.observability.status_server import StatusServer
 from sardinespool.programs.store.domain_link import DomainLink
 from sardinespool.programs.store.group_batches import GroupBatches
+from sardinespool.programs.store.group_endpoint import GroupEndpoint
 from sardinespool.programs.store.group_runner import GroupRunner
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication import messages as peer_messages
@@ -80,7 +79,7 @@
         )
         server = FrameServer(
             self._cluster.cluster_token,
-            self,
+            GroupEndpoint(self._runners, self._store_metrics, self._stopping),
             peer_server_context(self._cluster.tls),
         )
         status = StatusServer(
@@ -107,52 +106,6 @@
         await self._connector.close()
         _LOG.info("stopped", name=self._settings.name)
 
-    async def handle_call(
-        self, group: str, body: bytes, deadline_unix_ms: int
-    ) -> bytes:
-        """Return the encoded reply to a call."""
-        name = "unknown"
-        started = system_clock.now()
-        code = "ok"
-        try:
-            request = codec.decode_request(body)
-            name = type(request).__name__
-            reply = await self._runner(group).call(request)
-        except SardinespoolError as error:
-            code = error.code
-            reply = refused(error)
-        elapsed_ms = system_clock.now().boot_ms - started.boot_ms
-        self._store_metrics.calls.inc(request=name, code=code)
-        self._store_metrics.call_latency_ms.observe(elapsed_ms, request=name)
-        return codec.encode(reply)
-
-    def handle_peer(self, group: str, sender: str, body: bytes) -> None:
-        """Take a replication message."""
-        runner = self._runners.get(group)
-        if runner is None:
-            return
-        try:
-            message = peer_messages.decode_peer_message(body)
-        except SardinespoolError as error:
-            _LOG.warning(
-                "dropped a message",
-                group=group,
-                sender=sender,
-                code=error.code,
-            )
-            return
-        runner.deliver(sender, message)
-
-    def _runner(self, group: str) -> GroupRunner:
-        runner = self._runners.get(group)
-        if runner is None:
-            raise InvalidMessageError(
-                "The store is not a member of this group.", group=group
-            )
-        if self._stopping.is_set() and not runner.serving:
-            raise NotReadyError("The store is stopping.")
-        return runner
-
     def _start_groups(self) -> None:
         for group in self._member.groups:
             runner = self._make_runner(group)
--- a/src/sardinespool/replication/bootstrap.py
+++ b/src/sardinespool/replication/bootstrap.py
@@ -15,6 +15,7 @@
 from sardinespool.replication.identity import name_of
 from sardinespool.replication.messages import JoinReply
 from sardinespool.replication.messages import JoinRequest
+from sardinespool.replication.status import Role
 
 FORMATION_TERM = 1
 """Term of the first entry, which all initial members write themselves."""
@@ -31,6 +32,7 @@
         self._request_due_boot_ms = now.boot_ms
         self._answers: dict[str, tuple[str, int]] = {}
         self._known: dict[str, str] = {}
+        self._other_members: set[str] = set()
         self._group_exists = False
 
     def tick(self, now: Instant) -> None:
@@ -49,7 +51,33 @@
             < core.leader_heard_boot_ms + core.settings.election_timeout_min_ms
         ):
             return
-        for peer in core.settings.peers:
+        self._ask()
+
+    def rejoin(self, now: Instant) -> None:
+        """Ask to join again if no leader was heard from for long.
+
+        A voter that was silent for long may have been removed meanwhile.
+        """
+        core = self._core
+        if (
+            core.role is Role.LEADER
+            or now.boot_ms < self._request_due_boot_ms
+            or now.boot_ms
+            < core.leader_heard_boot_ms + core.settings.election_timeout_max_ms
+        ):
+            return
+        self._request_due_boot_ms = (
+            now.boot_ms + core.settings.join_interval_ms
+        )
+        self._ask()
+
+    def _ask(self) -> None:
+        core = self._core
+        peers = set(core.settings.peers) | self._other_members
+        if core.configuration is not None:
+            peers.update(map(name_of, core.configuration.members))
+        peers.discard(core.settings.name)
+        for peer in sorted(peers):
             core.send(
                 peer,
                 JoinRequest(
@@ -71,6 +99,7 @@
                 initial_members=(
                     configuration.initial_members if configuration else ()
                 ),
+                members=configuration.members if configuration else (),
             ),
         )
 
@@ -79,6 +108,8 @@
         core = self._core
         sender = reply.header.sender
         name = name_of(sender)
+        if core.settings.open_membership:
+            self._other_members.update(map(name_of, reply.members))
         if core.configuration is not None:
             return
         # A delayed answer of an identity whose disk was lost since.
--- a/src/sardinespool/replication/leadership.py
+++ b/src/sardinespool/replication/leadership.py
@@ -8,6 +8,7 @@
 from sardinespool.replication.entries import EntryKind
 from sardinespool.replication.membership import next_change
 from sardinespool.replication.membership import with_learner
+from sardinespool.replication.membership import without_dead_voter
 from sardinespool.replication.messages import AppendReply
 from sardinespool.replication.messages import SnapshotReply
 from sardinespool.replication.messages import TimeoutNow
@@ -85,15 +86,17 @@
             self._transfer_target = ""
         configuration = core.configuration
         if configuration is not None and self._may_change_members(now):
-            self._propose_members(
-                next_change(
-                    configuration,
-                    lambda identity: self._progress[identity].match_index,
-                    self._responsive(now),
-                    self._silent(now),
-                ),
-                now,
+            change = next_change(
+                configuration,
+                lambda identity: self._progress[identity].match_index,
+                self._responsive(now),
+                self._silent(now),
             )
+            if change is None and core.settings.open_membership:
+                change = without_dead_voter(
+                    configuration, self._responsive(now), self._dead(now)
+                )
+            self._propose_members(change, now)
 
     def admit(self, identity: str, now: Instant) -> None:
         """Consider a member that asks to join."""
@@ -252,3 +255,14 @@
         if now.boot_ms < self._started_boot_ms + timeout_ms:
             return set()
         return self._progress.keys() - self._responsive(now)
+
+    def _dead(self, now: Instant) -> set[str]:
+        """Return the members that are taken for dead in an open group."""
+        limit_ms = self._core.settings.dead_voter_ms
+        return {
+            identity
+            for identity, progress in self._progress.items()
+            if now.boot_ms
+            >= limit_ms
+            + max(self._started_boot_ms, progress.acknowledged_boot_ms or 0)
+        }
--- a/src/sardinespool/replication/membership.py
+++ b/src/sardinespool/replication/membership.py
@@ -5,6 +5,7 @@
 from sardinespool.replication.configuration import Configuration
 from sardinespool.replication.configuration import Learner
 from sardinespool.replication.identity import name_of
+from sardinespool.replication.settings import VOTERS_MIN
 
 
 def with_learner(
@@ -91,6 +92,39 @@
     return None
 
 
+def without_dead_voter(
+    configuration: Configuration, responsive: set[str], dead: set[str]
+) -> Configuration | None:
+    """Return the configuration without one voter that is taken for dead.
+
+    Parameters
+    ----------
+    responsive : set of str
+        Members that have acknowledged the leader recently.
+    dead : set of str
+        Members that have been silent for long.
+
+    Returns
+    -------
+    Configuration or None
+        None unless the others that respond decide alone and are enough to
+        bear a further loss.
+    """
+    others = responsive.intersection(configuration.voters)
+    if len(others) < max(configuration.majority, VOTERS_MIN):
+        return None
+    for voter in configuration.voters:
+        if voter in dead:
+            return Configuration(
+                configuration.initial_members,
+                tuple(
+                    other for other in configuration.voters if other != voter
+                ),
+                configuration.learners,
+            )
+    return None
+
+
 def without_learner(
     configuration: Configuration, identity: str
 ) -> Configuration:
--- a/src/sardinespool/replication/messages.py
+++ b/src/sardinespool/replication/messages.py
@@ -136,13 +136,14 @@
 class JoinReply(Message, frozen=True, kw_only=True):
     """Answer to a `JoinRequest`.
 
-    `initial_members` is empty if the sender has no configuration.
-    `bootstrap` is the sender's setting.
+    `initial_members` and `members` are empty if the sender has no
+    configuration. `bootstrap` is the sender's setting.
     """
 
     header: Header
     bootstrap: bool
     initial_members: tuple[str, ...]
+    members: tuple[str, ...] = ()
 
 
 PeerMessage = (
--- a/src/sardinespool/replication/replica.py
+++ b/src/sardinespool/replication/replica.py
@@ -127,7 +127,10 @@
     def _tick(self, now: Instant) -> None:
         if self._core.configuration is None:
             self._bootstrap.tick(now)
-        elif self._leadership is not None:
+            return
+        if self._core.settings.open_membership:
+            self._bootstrap.rejoin(now)
+        if self._leadership is not None:
             self._leadership.tick(now)
         elif self._election.tick(now):
             self._lead(now)
@@ -151,7 +154,9 @@
             header.group != core.settings.group
             or name_of(header.sender) != sender
             or header.sender == core.identity
-            or sender not in core.settings.peers
+            or not (
+                core.settings.open_membership or sender in core.settings.peers
+            )
         ):
             return False
         if isinstance(message, JoinRequest):
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -114,6 +114,8 @@
                         self._handler.handle_peer(
                             frame.group, frame.sender, frame.body
                         )
+                    case FrameKind.CALL if not frame.group:
+                        frames.write(Frame(kind=FrameKind.REPLY))
                     case FrameKind.CALL if len(calls) < CALLS_IN_PROGRESS_MAX:
                         task = asyncio.create_task(self._answer(frames, frame))
                         calls.add(task)
--- a/src/sardinespool/transport/http_client.py
+++ b/src/sardinespool/transport/http_client.py
@@ -77,6 +77,7 @@
             Sent once.
         request_id : str
             Sent as ``Sardinespool-Request-Id``; the answer must repeat it.
+            Not sent if empty, for servers that don't repeat it.
         may_send : callable
             Asked right before the first byte.
         timeout_s : float
@@ -136,7 +137,8 @@
         headers.add("Host", self._host)
         for name, value in request.headers:
             headers.add(name, value)
-        headers[REQUEST_ID_HEADER] = request_id
+        if request_id:
+            headers[REQUEST_ID_HEADER] = request_id
         headers["Content-Length"] = str(len(request.body))
         line = httputil.RequestStartLine(
             request.method, request.target, "HTTP/1.1"
--- /dev/null
+++ b/src/sardinespool/transport/http_connections.py
@@ -0,0 +1,65 @@
+"""Persistent connections to many servers, one for each lane of each."""
+
+import asyncio
+
+from sardinespool.settings.addresses import split_address
+from sardinespool.transport.http_client import HttpConnection
+from sardinespool.transport.http_messages import ExchangeNotSent
+from sardinespool.transport.http_messages import ExchangeResult
+from sardinespool.transport.http_messages import HttpRequest
+from sardinespool.transport.http_stream import open_stream
+
+ANSWER_LIMIT_BYTES = 1_048_576
+CONNECT_TIMEOUT_MS = 500
+"""A server in another failure domain accepts within 5 ms when it is well."""
+
+
+class HttpConnections:
+    """Keeps one connection for each server and lane.
+
+    A connection is opened on the first use, and again after it was lost. A
+    caller must not use a lane twice at a time.
+    """
+
+    def __init__(self) -> None:
+        self._connections: dict[tuple[str, int], HttpConnection] = {}
+        self._addresses: dict[str, str] = {}
+
+    async def exchange(
+        self,
+        server: str,
+        lane: int,
+        address: str,
+        request: HttpRequest,
+        timeout_ms: int,
+    ) -> ExchangeResult:
+        """Send a request over a lane; connect first if needed."""
+        if self._addresses.get(server) != address:
+            self.forget(server)
+            self._addresses[server] = address
+        key = (server, lane)
+        connection = self._connections.get(key)
+        if connection is None or not connection.idle:
+            if connection is not None:
+                connection.close()
+            try:
+                connection = await self._connect(address)
+            except (OSError, TimeoutError) as error:
+                return ExchangeNotSent(f"the connect failed: {error!r}")
+            self._connections[key] = connection
+        return await connection.exchange(
+            request, "", lambda: True, timeout_ms / 1000
+        )
+
+    def forget(self, server: str) -> None:
+        """Close all connections to a server."""
+        self._addresses.pop(server, None)
+        for key in [key for key in self._connections if key[0] == server]:
+            self._connections.pop(key).close()
+
+    async def _connect(self, address: str) -> HttpConnection:
+        host, port = split_address(address)
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            stream = await open_stream(host, port, None, ANSWER_LIMIT_BYTES)
+        stream.set_nodelay(True)
+        return HttpConnection(stream, address, ANSWER_LIMIT_BYTES)
--- a/src/sardinespool/transport/http_exchange.py
+++ b/src/sardinespool/transport/http_exchange.py
@@ -41,7 +41,10 @@
         self._keep_open = False
 
     def start(self, request_id: str, method: str) -> None:
-        """Expect the answer to this request from now on."""
+        """Expect the answer to this request from now on.
+
+        An empty `request_id` is for servers that don't repeat it.
+        """
         self.started = True
         self._request_id = request_id
         self._method = method
@@ -57,7 +60,9 @@
             raise httputil.HTTPInputError("Answer without a request.")
         if 100 <= start_line.code < 200:
             return
-        if headers.get_list(_REQUEST_ID_HEADER) != [self._request_id]:
+        if self._request_id and (
+            headers.get_list(_REQUEST_ID_HEADER) != [self._request_id]
+        ):
             self.fail("the answer has another request id")
             raise httputil.HTTPInputError("Answer of another request.")
         if (
--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -10,7 +10,9 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
+from sardinespool.errors.transport import UnreachableError
 from sardinespool.settings.addresses import split_address
+from sardinespool.transport import system_clock
 from sardinespool.transport.frame_stream import FrameStream
 from sardinespool.transport.frames import Frame
 from sardinespool.transport.frames import FrameKind
@@ -20,6 +22,15 @@
 RECONNECT_DELAY_MIN_MS = 50
 RECONNECT_DELAY_MAX_MS = 1_000
 WAITING_FRAMES_MAX = 1_000
+PROBE_INTERVAL_MS = 400
+SILENCE_MAX_MS = 1_200
+"""Silence after which a connection counts as lost; three probes.
+
+A connection can go silent for good without a reset.
+"""
+
+PROBE = Frame(kind=FrameKind.CALL)
+"""A call without a group; the other side answers it at once."""
 
 
 class PeerLink:
@@ -51,6 +62,7 @@
         self._calls: dict[int, asyncio.Future[bytes]] = {}
         self._call_ids = itertools.count(1)
         self._backing_off = False
+        self._heard_boot_ms = 0
         self._task = asyncio.create_task(self._run())
 
     def send(self, frame: Frame) -> None:
@@ -86,7 +98,7 @@
         if self._backing_off:
             # Another member may answer; waiting here for the next connect
             # made up most of the time to the first commit after a loss.
-            raise ConnectionLostError(
+            raise UnreachableError(
                 "The address can't be reached.", address=self._address
             )
         call_id = next(self._call_ids)
@@ -156,8 +168,30 @@
         stream.write(first)
         while not self._waiting.empty():
             stream.write(self._waiting.get_nowait())
+        self._heard_boot_ms = system_clock.now().boot_ms
+        probes = asyncio.create_task(self._probe(stream))
+        try:
+            await self._read(stream)
+        finally:
+            probes.cancel()
+
+    async def _probe(self, stream: FrameStream) -> None:
+        """Close the connection once the other side is silent for long."""
+        while not stream.closed():
+            await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
+            silence_ms = system_clock.now().boot_ms - self._heard_boot_ms
+            if silence_ms > SILENCE_MAX_MS:
+                stream.close()
+                return
+            try:
+                stream.write(PROBE)
+            except ConnectionLostError:
+                return
+
+    async def _read(self, stream: FrameStream) -> None:
         while True:
             frame = await stream.read()
+            self._heard_boot_ms = system_clock.now().boot_ms
             future = self._calls.get(frame.call_id)
             if frame.kind is FrameKind.REPLY and future is not None:
                 if not future.done():
--- /dev/null
+++ b/src/sardinespool/workflows/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of dependent steps: state, run records and manifest versions."""
--- /dev/null
+++ b/src/sardinespool/workflows/records.py
@@ -0,0 +1,189 @@
+"""Records of jobs, occurrences, steps and tasks.
+
+They are mutable and belong to one `WorkflowTable`, which alone changes them.
+"""
+
+import enum
+
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.workflows import FINAL_STATES
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.messages.workflows import WorkflowState
+from sardinespool.workflows.task_key import task_key
+
+
+class TaskState(enum.IntEnum):
+    """Where a task stands."""
+
+    WAITING = 0
+    ASSIGNED = 1
+    DONE = 2
+
+
+class TaskRecord:
+    """One task; `run` is the number of its last run, 0 before the first."""
+
+    __slots__ = (
+        "checkpoint",
+        "failures",
+        "index",
+        "key",
+        "life",
+        "run",
+        "state",
+        "step",
+        "worker_id",
+    )
+
+    def __init__(self, step: "StepRecord", index: int) -> None:
+        self.step = step
+        self.index = index
+        workflow = step.workflow
+        self.key = task_key(
+            workflow.job_id, step.occurrence, step.position, index
+        )
+        self.state = TaskState.WAITING
+        self.run = 0
+        self.worker_id = ""
+        self.life = 0
+        self.failures = 0
+        self.checkpoint = ""
+
+
+class StepRecord:
+    """One step of one occurrence.
+
+    Attributes
+    ----------
+    remaining : int
+        Tasks that are not done.
+    waiting : set of int
+        Indexes of the tasks that are not assigned.
+    """
+
+    __slots__ = (
+        "occurrence",
+        "position",
+        "remaining",
+        "spec",
+        "tasks",
+        "waiting",
+        "workflow",
+    )
+
+    def __init__(
+        self,
+        workflow: "WorkflowRecord",
+        occurrence: int,
+        position: int,
+        spec: StepSpec,
+    ) -> None:
+        self.workflow = workflow
+        self.occurrence = occurrence
+        self.position = position
+        self.spec = spec
+        self.tasks = [TaskRecord(self, index) for index in range(spec.count)]
+        self.remaining = spec.count
+        self.waiting = set(range(spec.count))
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Job, occurrence and position."""
+        return self.workflow.job_id, self.occurrence, self.position
+
+    @property
+    def may_run(self) -> bool:
+        """Whether the job goes on and all earlier steps are done."""
+        if self.workflow.is_final:
+            return False
+        steps = self.workflow.occurrences[self.occurrence]
+        return all(steps[before].remaining == 0 for before in self.spec.after)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a task of the step may be assigned now."""
+        if not self.waiting:
+            return False
+        # The members of a gang start together or not at all.
+        if self.spec.gang and len(self.waiting) < self.spec.count:
+            return False
+        return self.may_run
+
+
+class WorkflowRecord:
+    """One job.
+
+    Attributes
+    ----------
+    queue : QueueSpec
+        The queue as it was when the job was accepted; the manifest's present
+        one goes first where it still exists.
+    begun : bool
+        Whether a task was ever assigned.
+    occurrences : dict of int to list of StepRecord
+        Steps of the occurrences that were opened.
+    """
+
+    __slots__ = (
+        "accepted_unix_ms",
+        "begun",
+        "done_occurrences",
+        "ended_unix_ms",
+        "job_id",
+        "occurrences",
+        "queue",
+        "spec",
+        "state",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        queue: QueueSpec,
+        spec: WorkflowSpec,
+        accepted_unix_ms: int,
+    ) -> None:
+        self.job_id = job_id
+        self.queue = queue
+        self.spec = spec
+        self.accepted_unix_ms = accepted_unix_ms
+        self.state: WorkflowState = "queued"
+        self.begun = False
+        self.ended_unix_ms = 0
+        self.occurrences: dict[int, list[StepRecord]] = {}
+        self.done_occurrences = 0
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self.state in FINAL_STATES
+
+    @property
+    def occurrence_count(self) -> int:
+        """Number of times that the steps run."""
+        return max(1, self.spec.repetitions)
+
+    @property
+    def next_due_unix_ms(self) -> int | None:
+        """When the next occurrence is to be opened; None if none is left.
+
+        Occurrences are opened in order.
+        """
+        opened = len(self.occurrences)
+        if self.is_final or opened >= self.occurrence_count:
+            return None
+        if self.spec.repetitions == 0:
+            return 0
+        return self.spec.first_due_unix_ms + opened * self.spec.interval_ms
+
+    def open_occurrence(self, occurrence: int) -> list[StepRecord]:
+        """Return the steps of an occurrence; create them if they are new."""
+        steps = self.occurrences.get(occurrence)
+        if steps is None:
+            steps = [
+                StepRecord(self, occurrence, position, spec)
+                for position, spec in enumerate(self.spec.steps)
+            ]
+            self.occurrences[occurrence] = steps
+        return steps
--- /dev/null
+++ b/src/sardinespool/workflows/spec_check.py
@@ -0,0 +1,43 @@
+"""Checks of submitted jobs."""
+
+from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.messages.workflows import WorkflowSpec
+
+TASKS_MAX = 20_000
+"""Tasks of one job; bounds the memory that one submission can take."""
+
+
+def check_spec(spec: WorkflowSpec) -> None:
+    """Raise `InvalidJobError` if the job can't be carried out.
+
+    Parameters
+    ----------
+    spec : WorkflowSpec
+        What a caller submitted.
+    """
+    if not spec.steps:
+        raise InvalidJobError("The job has no steps.")
+    if spec.repetitions < 0 or spec.interval_ms < 0:
+        raise InvalidJobError("Repetitions and interval can't be negative.")
+    total = sum(step.count for step in spec.steps)
+    if total * max(1, spec.repetitions) > TASKS_MAX:
+        raise InvalidJobError("The job has too many tasks.", maximum=TASKS_MAX)
+    for position, step in enumerate(spec.steps):
+        _check_step(step, position)
+
+
+def _check_step(step: StepSpec, position: int) -> None:
+    sizes = (
+        step.processors_millicores,
+        step.memory_mb,
+        step.accelerators,
+        step.tasks_per_worker_max,
+        step.unavailable_max,
+    )
+    if step.count < 1 or min(sizes) < 0:
+        raise InvalidJobError("A step has a size out of range.", step=position)
+    if not all(0 <= before < position for before in step.after):
+        raise InvalidJobError(
+            "A step can only follow earlier steps.", step=position
+        )
--- /dev/null
+++ b/src/sardinespool/workflows/table.py
@@ -0,0 +1,262 @@
+"""All jobs of a group; applies commands and nothing else."""
+
+from collections.abc import Callable
+
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.workflows import AcceptWorkflow
+from sardinespool.messages.workflows import Assignment
+from sardinespool.messages.workflows import RecordRuns
+from sardinespool.messages.workflows import RunEnd
+from sardinespool.messages.workflows import RunsRecorded
+from sardinespool.messages.workflows import WorkflowState
+from sardinespool.workflows.records import StepRecord
+from sardinespool.workflows.records import TaskRecord
+from sardinespool.workflows.records import TaskState
+from sardinespool.workflows.records import WorkflowRecord
+from sardinespool.workflows.task_key import split_task_key
+
+StepKey = tuple[str, int, int]
+FailuresMax = Callable[[WorkflowRecord], int]
+"""Returns the failed runs of a task after which its job has failed."""
+
+
+class WorkflowTable:
+    """Jobs, their ready steps and the runs that workers hold.
+
+    Attributes
+    ----------
+    workflows : dict of str to WorkflowRecord
+        All jobs that are remembered.
+    ready : dict of step key to StepRecord
+        Steps with tasks that may be assigned now.
+    unopened : dict of str to WorkflowRecord
+        Jobs with occurrences that are not opened yet.
+    assigned : dict of str to dict
+        Assigned tasks by worker id and task name.
+    waiting_jobs : dict of str to int
+        Number of jobs of each queue of which no task was ever assigned.
+    """
+
+    def __init__(self) -> None:
+        self.workflows: dict[str, WorkflowRecord] = {}
+        self.ready: dict[StepKey, StepRecord] = {}
+        self.unopened: dict[str, WorkflowRecord] = {}
+        self.assigned: dict[str, dict[str, TaskRecord]] = {}
+        self.waiting_jobs: dict[str, int] = {}
+
+    def accept(
+        self, body: AcceptWorkflow, queue: QueueSpec, now_unix_ms: int
+    ) -> WorkflowRecord:
+        """Store a job; a repeat returns the stored one."""
+        workflow = self.workflows.get(body.job_id)
+        if workflow is None:
+            workflow = WorkflowRecord(
+                body.job_id, queue, body.spec, now_unix_ms
+            )
+            self.workflows[body.job_id] = workflow
+            self._count_waiting(workflow, 1)
+            if body.spec.repetitions:
+                self.unopened[body.job_id] = workflow
+            else:
+                self.open_occurrence(workflow, 0)
+        return workflow
+
+    def cancel(self, job_id: str, now_unix_ms: int) -> WorkflowRecord | None:
+        """Cancel a job that has not ended; return it if it is known."""
+        workflow = self.workflows.get(job_id)
+        if workflow is not None and not workflow.is_final:
+            self._end(workflow, "cancelled", now_unix_ms)
+        return workflow
+
+    def record_runs(
+        self, body: RecordRuns, now_unix_ms: int, failures_max: FailuresMax
+    ) -> RunsRecorded:
+        """Apply ends, assignments and removals, in this order.
+
+        An assignment is refused unless its task waits in a ready step and
+        its run number is new, so that a plan made on older state does no
+        harm.
+        """
+        for end in body.ends:
+            self._record_end(end, now_unix_ms, failures_max)
+        for job_id, occurrence in body.opened:
+            workflow = self.workflows.get(job_id)
+            if workflow is not None and not workflow.is_final:
+                self.open_occurrence(workflow, occurrence)
+        refused = tuple(
+            position
+            for position, item in enumerate(body.assignments)
+            if not self._assign(item)
+        )
+        for job_id in body.forgotten_jobs:
+            self._forget(job_id)
+        return RunsRecorded(refused=refused)
+
+    def open_occurrence(
+        self, workflow: WorkflowRecord, occurrence: int
+    ) -> None:
+        """Make the steps of an occurrence known."""
+        for step in workflow.open_occurrence(occurrence):
+            self._refresh(step)
+        if workflow.next_due_unix_ms is None:
+            self.unopened.pop(workflow.job_id, None)
+
+    def task(self, key: str) -> TaskRecord | None:
+        """Return the task of a name, if it is known."""
+        parts = split_task_key(key)
+        if parts is None:
+            return None
+        job_id, occurrence, position, index = parts
+        workflow = self.workflows.get(job_id)
+        if workflow is None:
+            return None
+        steps = workflow.occurrences.get(occurrence)
+        if steps is None or position >= len(steps):
+            return None
+        tasks = steps[position].tasks
+        return tasks[index] if index < len(tasks) else None
+
+    def restore_indexes(self) -> None:
+        """Rebuild everything that follows from the jobs."""
+        self.ready.clear()
+        self.unopened.clear()
+        self.assigned.clear()
+        self.waiting_jobs.clear()
+        for workflow in self.workflows.values():
+            if not workflow.begun and not workflow.is_final:
+                self._count_waiting(workflow, 1)
+            if workflow.next_due_unix_ms is not None:
+                self.unopened[workflow.job_id] = workflow
+            for steps in workflow.occurrences.values():
+                for step in steps:
+                    self._refresh(step)
+                    for task in step.tasks:
+                        if task.state is TaskState.ASSIGNED:
+                            self._index_assigned(task)
+
+    def _assign(self, item: Assignment) -> bool:
+        task = self.task(item.task)
+        if (
+            task is None
+            or task.state is not TaskState.WAITING
+            or item.run <= task.run
+            or not task.step.may_run
+        ):
+            return False
+        workflow = task.step.workflow
+        task.state = TaskState.ASSIGNED
+        task.run = item.run
+        task.worker_id = item.worker_id
+        task.life = item.life
+        task.step.waiting.discard(task.index)
+        self._index_assigned(task)
+        if not workflow.begun:
+            self._count_waiting(workflow, -1)
+            workflow.begun = True
+            workflow.state = "running"
+        self._refresh(task.step)
+        return True
+
+    def _record_end(
+        self, end: RunEnd, now_unix_ms: int, failures_max: FailuresMax
+    ) -> None:
+        task = self.task(end.task)
+        if task is None or task.state is TaskState.DONE or end.run > task.run:
+            return
+        is_current = task.state is TaskState.ASSIGNED and end.run == task.run
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if is_current:
+            self._release(task)
+        step = task.step
+        if end.outcome == "done" and not step.spec.long_running:
+            self._finish(task)
+        elif end.outcome == "failed":
+            task.failures += 1
+        if step.spec.gang and end.checkpoint:
+            # The checkpoint of one member is that of the whole gang.
+            for member in step.tasks:
+                member.checkpoint = end.checkpoint
+        workflow = step.workflow
+        if not workflow.is_final:
+            if step.remaining == 0:
+                self._after_step(step, now_unix_ms)
+            elif (
+                end.outcome == "failed"
+                and not step.spec.long_running
+                and self._failures(task) >= failures_max(workflow)
+            ):
+                self._end(workflow, "failed", now_unix_ms)
+        self._refresh(step)
+
+    def _failures(self, task: TaskRecord) -> int:
+        """Return the attempts of the task, or of its gang."""
+        if task.step.spec.gang:
+            return sum(member.failures for member in task.step.tasks)
+        return task.failures
+
+    def _release(self, task: TaskRecord) -> None:
+        held = self.assigned.get(task.worker_id)
+        if held is not None:
+            held.pop(task.key, None)
+            if not held:
+                del self.assigned[task.worker_id]
+        task.state = TaskState.WAITING
+        task.worker_id = ""
+        task.step.waiting.add(task.index)
+
+    def _finish(self, task: TaskRecord) -> None:
+        step = task.step
+        # One end as done stands for a whole gang.
+        for member in step.tasks if step.spec.gang else (task,):
+            if member.state is TaskState.DONE:
+                continue
+            if member.state is TaskState.ASSIGNED:
+                self._release(member)
+            member.state = TaskState.DONE
+            step.waiting.discard(member.index)
+            step.remaining -= 1
+
+    def _after_step(self, step: StepRecord, now_unix_ms: int) -> None:
+        workflow = step.workflow
+        steps = workflow.occurrences[step.occurrence]
+        for later in steps[step.position + 1 :]:
+            self._refresh(later)
+        if any(other.remaining for other in steps):
+            return
+        workflow.done_occurrences += 1
+        if workflow.done_occurrences == workflow.occurrence_count:
+            self._end(workflow, "completed", now_unix_ms)
+
+    def _end(
+        self,
+        workflow: WorkflowRecord,
+        state: WorkflowState,
+        now_unix_ms: int,
+    ) -> None:
+        if not workflow.begun:
+            self._count_waiting(workflow, -1)
+        workflow.state = state
+        workflow.ended_unix_ms = now_unix_ms
+        self.unopened.pop(workflow.job_id, None)
+        for steps in workflow.occurrences.values():
+            for step in steps:
+                self.ready.pop(step.key, None)
+
+    def _forget(self, job_id: str) -> None:
+        workflow = self.workflows.get(job_id)
+        if workflow is not None and workflow.is_final:
+            del self.workflows[job_id]
+
+    def _refresh(self, step: StepRecord) -> None:
+        if step.is_ready:
+            self.ready[step.key] = step
+        else:
+            self.ready.pop(step.key, None)
+
+    def _index_assigned(self, task: TaskRecord) -> None:
+        self.assigned.setdefault(task.worker_id, {})[task.key] = task
+
+    def _count_waiting(self, workflow: WorkflowRecord, change: int) -> None:
+        name = workflow.queue.name
+        self.waiting_jobs[name] = self.waiting_jobs.get(name, 0) + change
