Serve the membership question at a control group's leader

Cause: fronts never became ready; the request that asks the leader for the members was refused as unknown (seen in the log of a front, code invalid-message). Ruled out: connections and group formation, which served callers.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -26,6 +26,7 @@
 from sardinespool.messages.manifest import MemberList
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import ReadManifest
+from sardinespool.messages.manifest import ReadMembers
 from sardinespool.messages.manifest import SetEvacuation
 from sardinespool.messages.tasks import Accepted
 from sardinespool.messages.workflows import AcceptWorkflow
@@ -119,9 +120,10 @@
             case WorkerLeaves(worker_id=worker_id):
                 return self._leave(worker_id)
             case DumpState():
-                return Answer(
-                    StateDump(json=msgspec.json.encode(self._dump()))
-                )
+                state = msgspec.json.encode(self._dump())
+                return Answer(StateDump(json=state))
+            case ReadMembers():
+                return Answer(self._members())
             case _:
                 raise InvalidMessageError(
                     "A control group does not serve this request.",
--- a/src/sardinespool/platform/front.py
+++ b/src/sardinespool/platform/front.py
@@ -71,7 +71,13 @@
         readiness.start()
         probing = asyncio.create_task(self._probe())
         _LOG.info("started", node=self._settings.node)
-        await stopping.wait()
+        waiting = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [waiting, probing], return_when=asyncio.FIRST_COMPLETED
+        )
+        if probing.done():
+            # Only a fault ends this task.
+            await probing
         self._stopping = True
         _LOG.info("stopping", node=self._settings.node)
         await asyncio.sleep(UNREADY_BEFORE_STOP_MS / 1000)
@@ -89,14 +95,17 @@
 
     async def _probe(self) -> None:
         ready = False
+        problem = ""
         while True:
             try:
                 reply = await self._call(ReadMembers(), PROBE_TIMEOUT_MS)
             except SardinespoolError as error:
-                if ready:
-                    _LOG.warning("leader lost", code=error.code)
+                if error.code != problem:
+                    _LOG.warning("no leader", code=error.code, text=error.text)
+                problem = error.code
                 ready = False
             else:
+                problem = ""
                 self._answered_boot_ms = system_clock.now().boot_ms
                 if isinstance(reply, MemberList):
                     self._client.add_members(reply.members)
