Learn the press of filling images and place by pair

Change: TailModel learns the press by pair; placing keeps serving images apart and filling images away from those they press on; pacing slows what presses; runs that stay slowed move with their checkpoint.

--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -18,7 +18,7 @@
 from sardinespool.dispatch.orders import RunningRow
 from sardinespool.dispatch.orders import StartRun
 from sardinespool.dispatch.orders import StopRun
-from sardinespool.dispatch.pacing import adapt_pace
+from sardinespool.dispatch.pacing import Pacing
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
@@ -71,13 +71,20 @@
         Workers.
     settings : DispatchSettings
         Timing.
+    pacing : Pacing
+        Adapts the pace of filling tasks.
     control : RunControl
         Takes ends and stops.
     """
 
     def __init__(
-        self, fleet: Fleet, settings: DispatchSettings, control: RunControl
+        self,
+        fleet: Fleet,
+        settings: DispatchSettings,
+        pacing: Pacing,
+        control: RunControl,
     ) -> None:
+        self._pacing = pacing
         self._fleet = fleet
         self._settings = settings
         self._control = control
@@ -277,7 +284,7 @@
                 )
         if new_ends:
             self._control.note_listed_ends(worker)
-        adapt_pace(worker, now)
+        self._pacing.adapt(worker, now)
 
     def _take_running(
         self, worker: WorkerState, row: RunningRow, now: Instant
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -12,11 +12,13 @@
 from sardinespool.dispatch.orders import PaceRun
 from sardinespool.dispatch.orders import StartRun
 from sardinespool.dispatch.orders import StopRun
+from sardinespool.dispatch.pacing import Pacing
 from sardinespool.dispatch.planner import Planned
 from sardinespool.dispatch.planner import Planner
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
@@ -60,8 +62,11 @@
         self._settings = settings
         self._wake = wake
         self.fleet = Fleet(machine, settings, self.end_run)
-        self._answers = AnswerHandler(self.fleet, settings, self)
-        self._planner = Planner(machine, self.fleet, settings)
+        model = TailModel()
+        self._answers = AnswerHandler(
+            self.fleet, settings, Pacing(model), self
+        )
+        self._planner = Planner(machine, self.fleet, settings, model)
         self.fencing_token = 0
         self.fenced = False
         self._proposed: RecordRuns | None = None
@@ -271,6 +276,7 @@
             return self._proposed
         self._answers.expire_leases(now)
         self._planner.keep_up(now, self)
+        self._planner.relieve(now, self)
         ends, self._ends = tuple(self._ends), []
         self._ended_in_commit, self._ended_runs = self._ended_runs, []
         self._listed_in_commit, self._ends_listed = self._ends_listed, []
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -1,7 +1,9 @@
 """Choice of a worker for each ready task."""
 
+import math
 from collections.abc import Iterable
 
+from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.workflows.records import StepRecord
@@ -12,14 +14,27 @@
 Below half its speed a run takes longer than a run that waits for the end of
 another one.
 """
-SERVING_PENALTY = 0.2
-"""Share of a worker by which filling tasks avoid workers that serve."""
+TAIL_LIMIT = math.log(0.8)
+"""Expected tail over target, as a logarithm, up to which tasks may fill."""
+FILL_USE_TRIED = 0.5
+"""Share of its speed at which a filling task must be expected to fit."""
+TAIL_PENALTY = 1.5
+"""Share of a worker that a unit of logarithm of the tail costs."""
+SAME_IMAGE_BONUS = 0.5
+OTHER_IMAGE_PENALTY = 0.4
+"""Serving images are kept apart, so that each filling image finds workers
+whose serving images it does not press on."""
 REMOTE_PENALTY = 1.0
 """Share of a worker by which tasks avoid racks without their data."""
+SHUNNED_PENALTY = 10.0
+"""Above all other terms: a worker where the task failed is the last choice."""
 
 
 def choose_worker(
-    step: StepRecord, workers: Iterable[WorkerState], shunned: set[str]
+    step: StepRecord,
+    workers: Iterable[WorkerState],
+    shunned: set[str],
+    model: TailModel,
 ) -> WorkerState | None:
     """Return the worker for the next task of a step, or None.
 
@@ -32,6 +47,8 @@
     shunned : set of str
         Workers on which a run of the task failed; used only if no other
         has room.
+    model : TailModel
+        Press of filling images on serving ones.
     """
     spec = step.spec
     best: WorkerState | None = None
@@ -45,11 +62,11 @@
             continue
         if limit and tasks_of_step(worker, step) >= limit:
             continue
-        score = _score(spec, worker)
+        score = _score(spec, worker, model)
         if score is None:
             continue
         if worker.worker_id in shunned:
-            score -= 10.0
+            score -= SHUNNED_PENALTY
         if best is None or score > best_score:
             best = worker
             best_score = score
@@ -61,17 +78,40 @@
     return sum(run.step is step for run in worker.runs.values())
 
 
-def _score(spec: StepSpec, worker: WorkerState) -> float | None:
+def _score(
+    spec: StepSpec, worker: WorkerState, model: TailModel
+) -> float | None:
     whole = max(1, worker.description.processors_millicores)
     if spec.uses_leftover_processors:
-        free = worker.leftover_millicores
-        if free < FILL_SHARE_MIN * spec.processors_millicores:
+        score = _fill_score(spec, worker, whole, model)
+        if score is None:
             return None
-        score = free / whole
-        if worker.serving_runs:
-            score -= SERVING_PENALTY
+    elif spec.tail_latency_target_ms:
+        score = worker.free_millicores / whole
+        for image in worker.serving_images:
+            if image == spec.image:
+                score += SAME_IMAGE_BONUS
+            else:
+                score -= OTHER_IMAGE_PENALTY
     else:
         score = worker.free_millicores / whole
     if spec.data_rack and spec.data_rack not in worker.description.labels:
         score -= REMOTE_PENALTY
     return score
+
+
+def _fill_score(
+    spec: StepSpec, worker: WorkerState, whole: int, model: TailModel
+) -> float | None:
+    free = worker.leftover_millicores
+    if free < FILL_SHARE_MIN * spec.processors_millicores:
+        return None
+    share = spec.processors_millicores / whole
+    worst = 0.0
+    for image in worker.serving_images:
+        now = model.predict(image, worker.filling_use)
+        added = model.press(image, spec.image) * share
+        if now + FILL_USE_TRIED * added > TAIL_LIMIT and added > 0.05:
+            return None
+        worst = max(worst, now + added - TAIL_LIMIT)
+    return free / whole - TAIL_PENALTY * worst
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -8,6 +8,7 @@
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import Assignment
@@ -17,6 +18,14 @@
 STARTS_IN_PASS_MAX = 400
 """Bounds the time of one pass; the rest follows in the next one."""
 
+STARVED_PACE = 30
+"""Percent below which a filling run had better go elsewhere."""
+STARVED_MS = 1_200
+"""Two changes of pace; a shorter swing is waited out."""
+MOVE_PERCENT_MAX = 90
+RESTART_PERCENT_MAX = 30
+"""Progress above which a run without checkpoints stays where it is."""
+
 Planned = list[tuple[WorkerState, RunState]]
 
 
@@ -40,6 +49,8 @@
         Workers.
     settings : DispatchSettings
         Timing.
+    model : TailModel
+        Press of filling images on serving ones.
     """
 
     def __init__(
@@ -47,7 +58,9 @@
         machine: ControlMachine,
         fleet: Fleet,
         settings: DispatchSettings,
+        model: TailModel,
     ) -> None:
+        self._model = model
         self._machine = machine
         self._fleet = fleet
         self._settings = settings
@@ -129,6 +142,33 @@
                 ):
                     control.stop_run(worker, run, "worker drains")
 
+    def relieve(self, now: Instant, control: StopRuns) -> None:
+        """Take filling tasks away that have been slowed for long.
+
+        Another worker may serve images that they don't press on.
+        """
+        for worker in self._fleet.workers.values():
+            if not worker.serving_images:
+                continue
+            for run in list(worker.runs.values()):
+                step = run.step
+                if (
+                    step is None
+                    or run.phase is not RunPhase.RUNNING
+                    or not step.spec.uses_leftover_processors
+                ):
+                    continue
+                if run.pace_wanted > STARVED_PACE:
+                    run.slowed_boot_ms = None
+                elif run.slowed_boot_ms is None:
+                    run.slowed_boot_ms = now.boot_ms
+                elif now.boot_ms - run.slowed_boot_ms > STARVED_MS and (
+                    run.percent < MOVE_PERCENT_MAX
+                    if step.spec.checkpointing
+                    else run.percent < RESTART_PERCENT_MAX
+                ):
+                    control.stop_run(worker, run, "slowed for long")
+
     def _urgency(self, step: StepRecord) -> tuple[int, int, str, int]:
         workflow = step.workflow
         return (
@@ -145,7 +185,7 @@
         gang_run = max((task.run for task in step.tasks), default=0) + 1
         for index in sorted(step.waiting):
             task = step.tasks[index]
-            worker = choose_worker(step, workers, set())
+            worker = choose_worker(step, workers, set(), self._model)
             if worker is None:
                 break
             number = gang_run if step.spec.gang else task.run + 1
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -43,6 +43,8 @@
         Tail latency or processors in use, see `RunningRow`.
     progress_boot_ms : int
         When `percent` last changed.
+    slowed_boot_ms : int or None
+        Since when the run has been paced down.
     """
 
     __slots__ = (
@@ -52,7 +54,6 @@
         "known_boot_ms",
         "load",
         "ordered_boot_ms",
-        "over_target_boot_ms",
         "pace",
         "pace_wanted",
         "percent",
@@ -61,6 +62,7 @@
         "retry_boot_ms",
         "run",
         "sent",
+        "slowed_boot_ms",
         "stop_confirmed",
         "stop_reason",
         "stop_wanted",
@@ -95,7 +97,7 @@
         self.checkpoint = ""
         self.percent = 0
         self.load: int | None = None
-        self.over_target_boot_ms: int | None = None
+        self.slowed_boot_ms: int | None = None
         self.progress_boot_ms = now_boot_ms
         self.pace = FULL_PACE
         self.pace_wanted = FULL_PACE
@@ -106,6 +108,14 @@
         """Step of the task, if it is known."""
         return None if self.task is None else self.task.step
 
+    @property
+    def used_millicores(self) -> int:
+        """Processors that the run uses, as far as is known."""
+        if self.load is not None or self.task is None:
+            return self.load or 0
+        declared = self.task.step.spec.processors_millicores
+        return declared * self.pace // FULL_PACE
+
     @property
     def key(self) -> tuple[str, int]:
         """Task name and run number."""
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -39,6 +39,10 @@
         Processors that tasks with reserved processors are expected to use.
     filling_millicores : int
         Processors that tasks without reserved processors could use.
+    serving_images : dict of str to int
+        Serving runs by image.
+    filling_use : dict of str to float
+        Share of the worker's processors by image that fills.
     """
 
     def __init__(
@@ -69,7 +73,8 @@
         self.on_trial = False
         self.busy_millicores = 0
         self.filling_millicores = 0
-        self.serving_runs = 0
+        self.serving_images: dict[str, int] = {}
+        self.filling_use: dict[str, float] = {}
         self.pace_changed_boot_ms = 0
 
     @property
@@ -111,6 +116,18 @@
         if self.runs.pop(run.key, None) is not None and run.step is not None:
             self._change(run.step.spec, 1)
 
+    def measure_filling(self) -> None:
+        """Take the use of what fills from the last list."""
+        whole = max(1, self.description.processors_millicores)
+        self.filling_use = {}
+        for run in self.runs.values():
+            step = run.step
+            if step is not None and step.spec.uses_leftover_processors:
+                self._add_use(step.spec.image, run.used_millicores / whole)
+
+    def _add_use(self, image: str, share: float) -> None:
+        self.filling_use[image] = self.filling_use.get(image, 0.0) + share
+
     def describe(self, description: WorkerDescription) -> None:
         """Take a changed description of the same life."""
         old = self.description
@@ -126,10 +143,18 @@
         self.free_accelerators += sign * step.accelerators
         if step.uses_leftover_processors:
             self.filling_millicores -= sign * step.processors_millicores
+            if sign < 0:
+                whole = max(1, self.description.processors_millicores)
+                self._add_use(step.image, step.processors_millicores / whole)
             return
         self.free_millicores += sign * step.processors_millicores
         busy = step.processors_millicores
         if step.tail_latency_target_ms:
             busy = int(busy * SERVING_LOAD)
-            self.serving_runs -= sign
+            image = step.image
+            count = self.serving_images.get(image, 0) - sign
+            if count > 0:
+                self.serving_images[image] = count
+            else:
+                self.serving_images.pop(image, None)
         self.busy_millicores -= sign * busy
