Place filling tasks by declared use and order jobs by slack

Cause: halted runs counted as no press, so harmful tasks piled up on the same workers; seat checks waited up to 10 s for room that serving tasks had taken; first come first served kept jobs that were late already in front. Ruled out: lack of processors (392 of 716 declared cores were in use, 300 of them on halted runs). Change: expected tails use the full pace of all runs; workers on which every image may fill are kept for those that need them; long-running tasks leave 6% of a worker free; jobs are ordered by priority and time to their objective.

--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -3,6 +3,7 @@
 import math
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.placing import HARMLESS_PRESS
 from sardinespool.dispatch.run_state import FULL_PACE
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
@@ -25,8 +26,6 @@
 """Percent below which a run is halted; it would not get on."""
 PACE_CHANGE_MIN = 5
 """Smaller changes are not worth a call."""
-HARMLESS_PRESS = 0.03
-"""Part of a logarithm that a run may add to a tail unheeded."""
 
 
 class Pacing:
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -16,14 +16,23 @@
 """
 TAIL_LIMIT = math.log(0.8)
 """Expected tail over target, as a logarithm, up to which tasks may fill."""
-FILL_USE_TRIED = 0.5
-"""Share of its speed at which a filling task must be expected to fit."""
 TAIL_PENALTY = 1.5
 """Share of a worker that a unit of logarithm of the tail costs."""
 SAME_IMAGE_BONUS = 0.5
 OTHER_IMAGE_PENALTY = 0.4
 """Serving images are kept apart, so that each filling image finds workers
 whose serving images it does not press on."""
+VERSATILE_PENALTY = 0.1
+"""Share of a worker by which a filling task avoids, for each unit of press
+that it lacks there, workers on which all images may fill."""
+SHORT_RESERVE = 0.06
+"""Share of a worker that long-running tasks leave to short ones.
+
+Short tasks of equal priority use 4% of the processors on the users' sheets
+and come in bursts; a long-running task would keep them out for minutes.
+"""
+HARMLESS_PRESS = 0.03
+"""Part of a logarithm that a task may add to a tail unheeded."""
 REMOTE_PENALTY = 1.0
 """Share of a worker by which tasks avoid racks without their data."""
 SHUNNED_PENALTY = 10.0
@@ -87,6 +96,9 @@
         if score is None:
             return None
     elif spec.tail_latency_target_ms:
+        left = worker.free_millicores - spec.processors_millicores
+        if left < SHORT_RESERVE * whole:
+            return None
         score = worker.free_millicores / whole
         for image in worker.serving_images:
             if image == spec.image:
@@ -107,11 +119,17 @@
     if free < FILL_SHARE_MIN * spec.processors_millicores:
         return None
     share = spec.processors_millicores / whole
-    worst = 0.0
+    tail = TAIL_LIMIT
+    hostility = 0.0
     for image in worker.serving_images:
-        now = model.predict(image, worker.filling_use)
         added = model.press(image, spec.image) * share
-        if now + FILL_USE_TRIED * added > TAIL_LIMIT and added > 0.05:
+        expected = model.predict(image, worker.filling_declared) + added
+        if expected > TAIL_LIMIT and added > HARMLESS_PRESS:
             return None
-        worst = max(worst, now + added - TAIL_LIMIT)
-    return free / whole - TAIL_PENALTY * worst
+        tail = max(tail, expected)
+        hostility = max(hostility, model.mean_press(image))
+    return (
+        free / whole
+        - TAIL_PENALTY * (tail - TAIL_LIMIT)
+        + VERSATILE_PENALTY * hostility
+    )
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -12,8 +12,11 @@
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import Assignment
+from sardinespool.workflows.chain import longest_chain_ms
 from sardinespool.workflows.records import StepRecord
 
+LATE_OBJECTIVES = 3
+"""Completion objectives after which a job is worth nothing to its user."""
 FORGET_INTERVAL_MS = 5_000
 STARTS_IN_PASS_MAX = 400
 """Bounds the time of one pass; the rest follows in the next one."""
@@ -90,7 +93,9 @@
                 usable.setdefault(pool, []).append(worker)
         assignments: list[Assignment] = []
         planned: Planned = []
-        for step in sorted(ready.values(), key=self._urgency):
+        for step in sorted(
+            ready.values(), key=lambda step: self._urgency(step, now)
+        ):
             if len(assignments) >= STARTS_IN_PASS_MAX:
                 break
             queue = self._machine.queue_of(step.workflow)
@@ -169,11 +174,29 @@
                 ):
                     control.stop_run(worker, run, "slowed for long")
 
-    def _urgency(self, step: StepRecord) -> tuple[int, int, str, int]:
+    def _urgency(
+        self, step: StepRecord, now: Instant
+    ) -> tuple[int, int, int, str, int]:
+        """Return a sort key: priority, then the time until it is late.
+
+        Jobs that are late already follow those that can be in time, and
+        those that are too late for both come last.
+        """
         workflow = step.workflow
+        queue = self._machine.queue_of(workflow)
+        objective_ms = queue.latency_objective_ms + int(
+            queue.stretch * longest_chain_ms(workflow.spec)
+        )
+        age_ms = now.unix_ms - workflow.accepted_unix_ms
+        lateness = 0
+        if not step.spec.long_running:
+            lateness = (age_ms > objective_ms) + (
+                age_ms > LATE_OBJECTIVES * objective_ms
+            )
         return (
-            self._machine.queue_of(workflow).priority,
-            workflow.accepted_unix_ms,
+            queue.priority,
+            lateness,
+            objective_ms - age_ms,
             workflow.job_id,
             step.position,
         )
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -33,6 +33,7 @@
         self._press: ShrunkenMeans[tuple[str, str]] = ShrunkenMeans(
             PRESS_PRIOR, PRESS_DEVIATION, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
         )
+        self._filling: set[str] = set()
         self._baseline: ShrunkenMeans[str] = ShrunkenMeans(
             BASELINE_PRIOR, 0.5, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
         )
@@ -41,6 +42,13 @@
         """Return the press of a pair for a whole worker of use."""
         return max(0.0, self._press.mean((serving, filling)))
 
+    def mean_press(self, serving: str) -> float:
+        """Return the mean press of the known filling images on an image."""
+        known = self._filling
+        if not known:
+            return PRESS_PRIOR
+        return sum(self.press(serving, image) for image in known) / len(known)
+
     def predict(self, serving: str, use: Mapping[str, float]) -> float:
         """Return the expected logarithm of tail over target.
 
@@ -84,6 +92,7 @@
         for image, share in use.items():
             if share <= USE_MIN:
                 continue
+            self._filling.add(image)
             key = (serving, image)
             sample = self._press.mean(key) + error * share / squares
             weight = min(1.0, share / 0.1)
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -41,8 +41,9 @@
         Processors that tasks without reserved processors could use.
     serving_images : dict of str to int
         Serving runs by image.
-    filling_use : dict of str to float
-        Share of the worker's processors by image that fills.
+    filling_use, filling_declared : dict of str to float
+        Share of the worker's processors by image that fills: what was
+        measured, and what its runs use at full pace.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.filling_millicores = 0
         self.serving_images: dict[str, int] = {}
         self.filling_use: dict[str, float] = {}
+        self.filling_declared: dict[str, float] = {}
         self.pace_changed_boot_ms = 0
 
     @property
@@ -143,9 +145,12 @@
         self.free_accelerators += sign * step.accelerators
         if step.uses_leftover_processors:
             self.filling_millicores -= sign * step.processors_millicores
+            whole = max(1, self.description.processors_millicores)
+            share = step.processors_millicores / whole
+            declared = self.filling_declared.get(step.image, 0.0)
+            self.filling_declared[step.image] = declared - sign * share
             if sign < 0:
-                whole = max(1, self.description.processors_millicores)
-                self._add_use(step.image, step.processors_millicores / whole)
+                self._add_use(step.image, share)
             return
         self.free_millicores += sign * step.processors_millicores
         busy = step.processors_millicores
