Take a serving task as a queue with its own load

Cause: samples over target showed tasks of one image on one worker at 7 and 60 ms: the load of each job swings by itself, and tails grow without bound as load and press together near saturation, which a sum of logarithms does not follow. Change: the model adds loads and presses as levels of a queue, with a load for each serving run; placing keeps the tasks of a job together.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -192,7 +192,7 @@
         return HoldWorker(
             fencing_token=self.fencing_token,
             acknowledged_end=worker.acknowledged_end,
-            wait_ms=self._settings.hold_wait_ms if worker.reconciled else 0,
+            wait_ms=self._wait_ms(worker),
             lease_end_ms=self._lease_end(worker, now),
         )
 
@@ -349,6 +349,13 @@
             self._wake(worker.worker_id)
         self._listed_in_commit = []
 
+    def _wait_ms(self, worker: WorkerState) -> int:
+        if not worker.reconciled:
+            return 0
+        if worker.serving_images and worker.filling_millicores:
+            return self._settings.watch_wait_ms
+        return self._settings.hold_wait_ms
+
     def _lease_end(self, worker: WorkerState, now: Instant) -> int | None:
         if not worker.clock.known:
             return None
--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -1,7 +1,5 @@
 """Pace of filling tasks beside serving ones."""
 
-import math
-
 from sardinespool.clock import Instant
 from sardinespool.dispatch.placing import HARMLESS_PRESS
 from sardinespool.dispatch.run_state import FULL_PACE
@@ -10,23 +8,25 @@
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 
-SLOW_ABOVE = math.log(0.9)
-"""Tail over target, as a logarithm, that slows what fills."""
-AIM = math.log(0.75)
-"""Tail over target that a new pace aims at; the load swings by half."""
-FASTEN_BELOW = math.log(0.65)
-"""Tail over target below which what fills may work faster."""
+SLOW_MARGIN = 0.04
+"""Distance of a level from its limit at which what fills is slowed."""
+AIM_MARGIN = 0.1
+"""Distance from the limit that a new pace aims at; a load rises by 0.1 in
+the second until the next change takes effect."""
 CHANGE_INTERVAL_MS = 600
 """The tail lags half a second behind, and a new pace takes 100 ms."""
-RAISE_MAX = 2.0
-"""Largest factor of one raise."""
-PACE_START = 15
-"""Percent at which a halted run goes on."""
-PACE_MIN = 6
+REPORT_INTERVAL_MS = 400
+"""Tails are measured each half second; nearer reports repeat one."""
+PACE_STEP = 40
+"""Largest raise, in percent points."""
+PACE_MIN = 8
 """Percent below which a run is halted; it would not get on."""
-PACE_CHANGE_MIN = 5
+PACE_CHANGE_MIN = 8
 """Smaller changes are not worth a call."""
 
+Pressed = list[tuple[str, float]]
+"""Image and distance from the limit of each serving run of a worker."""
+
 
 class Pacing:
     """Learns from reports and adapts the pace on one worker at a time.
@@ -50,7 +50,8 @@
         now : Instant
             Time of the list.
         """
-        serving: dict[str, float] = {}
+        worker.measure_filling()
+        pressed: Pressed = []
         filling: list[RunState] = []
         for run in worker.runs.values():
             step = run.step
@@ -58,36 +59,45 @@
                 continue
             target_ms = step.spec.tail_latency_target_ms
             if target_ms and run.load:
-                level = math.log(run.load / target_ms)
                 image = step.spec.image
-                serving[image] = max(serving.get(image, -9.0), level)
+                self._learn(worker, run, image, run.load, now)
+                limit = self._model.level(image, target_ms)
+                level = self._model.level(image, run.load)
+                pressed.append((image, limit - level))
             elif step.spec.uses_leftover_processors and not run.stop_wanted:
                 filling.append(run)
-        worker.measure_filling()
-        if not serving:
-            self._set_all(worker, filling, FULL_PACE)
-            return
-        use = worker.filling_use
-        for image, level in serving.items():
-            self._model.observe(image, level, use, now.boot_ms)
         elapsed_ms = now.boot_ms - worker.pace_changed_boot_ms
         if not filling or elapsed_ms < CHANGE_INTERVAL_MS:
             return
-        worst = max(serving.values())
         changed = False
-        if worst > SLOW_ABOVE:
-            for image, level in serving.items():
-                if level > SLOW_ABOVE:
-                    changed |= self._slow(worker, filling, image, level)
+        if pressed and min(left for _, left in pressed) < SLOW_MARGIN:
+            for image, left in pressed:
+                if left < SLOW_MARGIN:
+                    changed |= self._slow(worker, filling, image, left)
         else:
-            changed = self._fasten(worker, filling, serving)
+            changed = self._fasten(worker, filling, pressed)
         if changed:
             worker.pace_changed_boot_ms = now.boot_ms
 
-    def _share(
+    def _learn(
+        self,
+        worker: WorkerState,
+        run: RunState,
+        image: str,
+        tail_ms: int,
+        now: Instant,
+    ) -> None:
+        if now.boot_ms - run.sampled_boot_ms < REPORT_INTERVAL_MS:
+            return
+        run.sampled_boot_ms = now.boot_ms
+        run.serving_load = self._model.observe(
+            image, tail_ms, run.serving_load, worker.filling_use, now.boot_ms
+        )
+
+    def _part(
         self, worker: WorkerState, run: RunState, image: str, use: float
     ) -> float:
-        """Return what a run adds to the tail of a serving image."""
+        """Return what a run adds to the level of a serving image."""
         step = run.step
         if step is None:
             return 0.0
@@ -99,21 +109,21 @@
         worker: WorkerState,
         filling: list[RunState],
         image: str,
-        level: float,
+        left: float,
     ) -> bool:
         parts = {
-            run.key: self._share(worker, run, image, run.used_millicores)
+            run.key: self._part(worker, run, image, run.used_millicores)
             for run in filling
         }
         total = sum(parts.values())
-        excess = level - AIM
-        factor = max(0.0, 1.0 - excess / total) if total > 0.0 else 0.0
+        excess = AIM_MARGIN - left
+        # If the known press can't explain the level, all are slowed.
+        explained = total >= excess
+        factor = 1.0 - excess / total if explained else 0.0
         changed = False
         for run in filling:
-            # If the known press can't explain the tail, all are slowed.
-            if parts[run.key] > HARMLESS_PRESS or total < excess / 2:
-                scale = factor if total >= excess / 2 else min(factor, 0.5)
-                pace = int(run.pace_wanted * scale)
+            if parts[run.key] > HARMLESS_PRESS or not explained:
+                pace = int(run.pace_wanted * factor)
                 changed |= _set_pace(
                     worker, run, pace if pace >= PACE_MIN else 0
                 )
@@ -123,37 +133,31 @@
         self,
         worker: WorkerState,
         filling: list[RunState],
-        serving: dict[str, float],
+        pressed: Pressed,
     ) -> bool:
         changed = False
-        room = {image: AIM - level for image, level in serving.items()}
+        room: dict[str, float] = {}
+        for image, left in pressed:
+            room[image] = min(room.get(image, left), left - AIM_MARGIN)
         for run in filling:
             if run.pace_wanted >= FULL_PACE or run.step is None:
                 continue
             full = run.step.spec.processors_millicores
-            wanted = FULL_PACE - run.pace_wanted
-            for image, left in room.items():
-                cost = self._share(worker, run, image, full) / FULL_PACE
-                if cost * wanted > max(0.0, left):
-                    wanted = int(max(0.0, left) / cost)
-            limit = max(PACE_START, int(run.pace_wanted * (RAISE_MAX - 1.0)))
-            if max(serving.values()) > FASTEN_BELOW:
-                limit = 0
-            pace = run.pace_wanted + min(wanted, limit)
-            if pace - run.pace_wanted < PACE_CHANGE_MIN:
+            raised = min(PACE_STEP, FULL_PACE - run.pace_wanted)
+            costs = {
+                image: self._part(worker, run, image, full) / FULL_PACE
+                for image in room
+            }
+            for image, cost in costs.items():
+                if cost * raised > max(0.0, room[image]):
+                    raised = int(max(0.0, room[image]) / cost)
+            if raised < min(PACE_CHANGE_MIN, FULL_PACE - run.pace_wanted):
                 continue
-            for image in room:
-                cost = self._share(worker, run, image, full) / FULL_PACE
-                room[image] -= cost * (pace - run.pace_wanted)
-            changed |= _set_pace(worker, run, min(FULL_PACE, pace))
+            for image, cost in costs.items():
+                room[image] -= cost * raised
+            changed |= _set_pace(worker, run, run.pace_wanted + raised)
         return changed
 
-    def _set_all(
-        self, worker: WorkerState, filling: list[RunState], pace: int
-    ) -> None:
-        for run in filling:
-            _set_pace(worker, run, pace)
-
 
 def _set_pace(worker: WorkerState, run: RunState, pace: int) -> bool:
     if run.pace_wanted == pace:
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -1,10 +1,11 @@
 """Choice of workers for ready tasks, during one planning pass."""
 
 import heapq
-import math
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
+from sardinespool.dispatch.tail_model import LOAD_PRIOR
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
@@ -16,29 +17,31 @@
 Below half its speed a run takes longer than a run that waits for the end of
 another one.
 """
-TAIL_LIMIT = math.log(0.8)
-"""Expected tail over target, as a logarithm, up to which tasks may fill."""
-TAIL_PENALTY = 1.5
-"""Share of a worker that a unit of logarithm of the tail costs."""
+LEVEL_MARGIN = 0.08
+"""Distance that the expected level keeps from its limit, see `TailModel`."""
+LEVEL_PENALTY = 1.0
+"""Share of a worker that a unit of added level costs."""
+SAME_JOB_BONUS = 0.3
+"""The tasks of one job have their peaks of load at the same time."""
 SAME_IMAGE_BONUS = 0.5
 OTHER_IMAGE_PENALTY = 0.4
 """Serving images are kept apart, so that each filling image finds workers
 whose serving images it does not press on."""
-VERSATILE_PENALTY = 0.1
-"""Share of a worker by which a filling task avoids, for each unit of press
-that it lacks there, workers on which all images may fill."""
+HOSTILE_BONUS = 0.5
+"""Share of a worker by which a filling task prefers, for each unit of press
+that other waiting tasks would have there, workers that these can't use."""
 SHORT_RESERVE = 0.06
 """Share of a worker that long-running tasks leave to short ones.
 
 Short tasks of equal priority use 4% of the processors on the users' sheets
 and come in bursts; a long-running task would keep them out for minutes.
 """
-HARMLESS_PRESS = 0.03
-"""Part of a logarithm that a task may add to a tail unheeded."""
+HARMLESS_PRESS = 0.01
+"""What a task may add to a level unheeded."""
 REMOTE_PENALTY = 1.0
 """Share of a worker by which tasks avoid racks without their data."""
 
-Levels = list[tuple[str, float]]
+Rooms = list[tuple[str, float]]
 
 
 class Placing:
@@ -50,16 +53,22 @@
         Workers of one pool that take starts.
     model : TailModel
         Press of filling images on serving ones.
+    demand : mapping of str to float
+        Share of the waiting filling tasks by image.
     """
 
     def __init__(
-        self, workers: Iterable[WorkerState], model: TailModel
+        self,
+        workers: Iterable[WorkerState],
+        model: TailModel,
+        demand: Mapping[str, float],
     ) -> None:
+        self._demand = demand
         self._workers = list(workers)
         self._model = model
         self._press: dict[tuple[str, str], float] = {}
         self._hostility: dict[str, float] = {}
-        self._levels: dict[str, Levels] = {}
+        self._rooms: dict[str, Rooms] = {}
 
     def workers_for(self, step: StepRecord) -> Iterator[WorkerState]:
         """Yield a worker for one task of a step after the other.
@@ -78,7 +87,7 @@
             _, position, worker = heapq.heappop(heap)
             yield worker
             if spec.uses_leftover_processors or spec.tail_latency_target_ms:
-                self._levels.pop(worker.worker_id, None)
+                self._rooms.pop(worker.worker_id, None)
             score = self._score(step, worker)
             if score is not None:
                 heapq.heappush(heap, (-score, position, worker))
@@ -99,7 +108,7 @@
         if spec.uses_leftover_processors:
             score = self._fill_score(spec, worker, whole)
         elif spec.tail_latency_target_ms:
-            score = _serving_score(spec, worker, whole)
+            score = _serving_score(step, worker, whole)
         else:
             score = worker.free_millicores / whole
         if score is None:
@@ -115,31 +124,43 @@
         if free < FILL_SHARE_MIN * spec.processors_millicores:
             return None
         share = spec.processors_millicores / whole
-        tail = TAIL_LIMIT
+        worst = 0.0
         hostility = 0.0
-        for image, level in self._levels_of(worker):
+        for image, room in self._rooms_of(worker):
             added = self._press_of(image, spec.image) * share
-            expected = level + added
-            if expected > TAIL_LIMIT and added > HARMLESS_PRESS:
+            if added > max(room, HARMLESS_PRESS):
                 return None
-            tail = max(tail, expected)
+            worst = max(worst, added)
             hostility = max(hostility, self._hostility_of(image))
-        return (
-            free / whole
-            - TAIL_PENALTY * (tail - TAIL_LIMIT)
-            + VERSATILE_PENALTY * hostility
-        )
-
-    def _levels_of(self, worker: WorkerState) -> Levels:
-        """Return the expected tails if everything fills at full pace."""
-        levels = self._levels.get(worker.worker_id)
-        if levels is None:
-            levels = [
-                (image, self._model.predict(image, worker.filling_declared))
-                for image in worker.serving_images
+        return free / whole - LEVEL_PENALTY * worst + HOSTILE_BONUS * hostility
+
+    def _rooms_of(self, worker: WorkerState) -> Rooms:
+        """Return the room of serving images if all fills at full pace."""
+        rooms = self._rooms.get(worker.worker_id)
+        if rooms is None:
+            least: dict[str, float] = {}
+            for run in worker.runs.values():
+                step = run.step
+                if step is None or not step.spec.tail_latency_target_ms:
+                    continue
+                image = step.spec.image
+                load = run.serving_load
+                limit = self._model.level(
+                    image, step.spec.tail_latency_target_ms
+                )
+                room = limit - (LOAD_PRIOR if load is None else load)
+                least[image] = min(least.get(image, room), room)
+            rooms = [
+                (
+                    image,
+                    room
+                    - LEVEL_MARGIN
+                    - self._model.added(image, worker.filling_declared),
+                )
+                for image, room in least.items()
             ]
-            self._levels[worker.worker_id] = levels
-        return levels
+            self._rooms[worker.worker_id] = rooms
+        return rooms
 
     def _press_of(self, serving: str, filling: str) -> float:
         key = (serving, filling)
@@ -151,7 +172,7 @@
     def _hostility_of(self, serving: str) -> float:
         hostility = self._hostility.get(serving)
         if hostility is None:
-            hostility = self._model.mean_press(serving)
+            hostility = self._model.added(serving, self._demand)
             self._hostility[serving] = hostility
         return hostility
 
@@ -162,8 +183,9 @@
 
 
 def _serving_score(
-    spec: StepSpec, worker: WorkerState, whole: int
+    step: StepRecord, worker: WorkerState, whole: int
 ) -> float | None:
+    spec = step.spec
     left = worker.free_millicores - spec.processors_millicores
     if left < SHORT_RESERVE * whole:
         return None
@@ -173,4 +195,6 @@
             score += SAME_IMAGE_BONUS
         else:
             score -= OTHER_IMAGE_PENALTY
+    if tasks_of_step(worker, step):
+        score += SAME_JOB_BONUS
     return score
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -1,5 +1,6 @@
 """Which ready tasks start now, and where."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
 from sardinespool.clock import Instant
@@ -101,8 +102,9 @@
             if self._fleet.takes_starts(worker, now):
                 pool = worker.description.pool
                 usable.setdefault(pool, []).append(worker)
+        demand = filling_demand(ready.values())
         places = {
-            pool: Placing(workers, self._model)
+            pool: Placing(workers, self._model, demand)
             for pool, workers in usable.items()
         }
         planned: Planned = []
@@ -241,3 +243,14 @@
                 worker.remove_run(run)
             return []
         return planned
+
+
+def filling_demand(steps: Iterable[StepRecord]) -> dict[str, float]:
+    """Return the share of the waiting filling tasks by image."""
+    waiting: dict[str, float] = {}
+    for step in steps:
+        if step.spec.uses_leftover_processors:
+            image = step.spec.image
+            waiting[image] = waiting.get(image, 0.0) + len(step.waiting)
+    total = sum(waiting.values())
+    return {image: count / total for image, count in waiting.items()}
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -41,6 +41,10 @@
         Earliest time of the next order.
     load : int or None
         Tail latency or processors in use, see `RunningRow`.
+    serving_load : float or None
+        Load of a serving run without what fills beside it, see `TailModel`.
+    sampled_boot_ms : int
+        When the tail last entered the model.
     progress_boot_ms : int
         When `percent` last changed.
     slowed_boot_ms : int or None
@@ -61,7 +65,9 @@
         "progress_boot_ms",
         "retry_boot_ms",
         "run",
+        "sampled_boot_ms",
         "sent",
+        "serving_load",
         "slowed_boot_ms",
         "stop_confirmed",
         "stop_reason",
@@ -99,6 +105,8 @@
         self.load: int | None = None
         self.slowed_boot_ms: int | None = None
         self.progress_boot_ms = now_boot_ms
+        self.sampled_boot_ms = 0
+        self.serving_load: float | None = None
         self.pace = FULL_PACE
         self.pace_wanted = FULL_PACE
         self.ticket = ""
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -16,6 +16,9 @@
     hold_wait_ms : int
         Longest wait of one hold. A third of the lease, so that two holds may
         be lost before it ends.
+    watch_wait_ms : int
+        Longest wait of a hold of a worker on which tasks fill beside serving
+        ones; tails are measured each half second.
     order_timeout_ms : int
         Time after which a call counts as unanswered; a worker in another
         failure domain answers within 5 ms when it is well.
@@ -37,7 +40,8 @@
 
     lease_ms: int = 4_000
     hold_wait_ms: int = 1_000
-    order_timeout_ms: int = 800
+    watch_wait_ms: int = 500
+    order_timeout_ms: int = 500
     retry_ms: int = 150
     clock_rate_min: float = 0.98
     lease_margin_ms: int = 100
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -1,29 +1,33 @@
 """How filling tasks press on the tail latency of serving ones.
 
-The logarithm of a serving task's tail, as a share of its target, is taken as
-a baseline of its image plus, for each image that fills beside it, the press
-of the pair times the share of the worker's processors that the image uses.
-In the reports of a played day a few pairs press hard (5 to 10) and most do
-not press at all, so the pair decides where a task belongs.
+A serving task is taken as a queue: its tail is ``floor / (1 - level)``,
+where the level is the sum of its own load and of what fills beside it. Each
+filling image adds the press of the pair of images times the share of the
+worker's processors that it uses. In the reports of a played day a few pairs
+press hard (1.5 and more) and most hardly at all, and the load of a task
+swings by half within ten seconds.
 """
 
-import math
 from collections.abc import Mapping
 
 from sardinespool.placement.estimates import ShrunkenMeans
 
-PRESS_PRIOR = 2.0
-"""Press of a pair before any report: a third of the pairs press by 5 to 10."""
-PRESS_DEVIATION = 3.0
+PRESS_PRIOR = 0.6
+"""Press of a pair before any report; a third of the pairs press by 1.7."""
+PRESS_DEVIATION = 0.8
 PRIOR_REPORTS = 2.0
-HALF_LIFE_MS = 8_000
+HALF_LIFE_MS = 10_000
 """Age at which a report counts half; the press changes within seconds."""
-BASELINE_PRIOR = math.log(0.35)
-"""Undisturbed tail, as a share of the target."""
-PRESS_MAX = 30.0
+LOAD_PRIOR = 0.45
+"""Level of a serving task before any report."""
+PRESS_MAX = 5.0
 """Reports beyond are clipped, so that one report has little effect."""
-USE_MIN = 0.005
+USE_MIN = 0.01
 """Shares of a worker below this tell nothing about a press."""
+FULL_WEIGHT_USE = 0.1
+"""Share of a worker from which a report counts in full."""
+LOAD_STEP = 0.5
+"""Weight of the last report in the load of a serving task."""
 
 
 class TailModel:
@@ -33,72 +37,75 @@
         self._press: ShrunkenMeans[tuple[str, str]] = ShrunkenMeans(
             PRESS_PRIOR, PRESS_DEVIATION, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
         )
-        self._filling: set[str] = set()
-        self._baseline: ShrunkenMeans[str] = ShrunkenMeans(
-            BASELINE_PRIOR, 0.5, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
-        )
+        self._floor_ms: dict[str, float] = {}
+
+    def level(self, serving: str, tail_ms: float) -> float:
+        """Return the level of a tail, from 0 at its floor to 1.
+
+        Parameters
+        ----------
+        serving : str
+            Image of the serving task.
+        tail_ms : float
+            A reported tail, or a target.
+        """
+        floor_ms = self._floor_ms.get(serving, tail_ms)
+        return 1.0 - floor_ms / max(tail_ms, floor_ms, 0.1)
 
     def press(self, serving: str, filling: str) -> float:
         """Return the press of a pair for a whole worker of use."""
         return max(0.0, self._press.mean((serving, filling)))
 
-    def mean_press(self, serving: str) -> float:
-        """Return the mean press of the known filling images on an image."""
-        known = self._filling
-        if not known:
-            return PRESS_PRIOR
-        return sum(self.press(serving, image) for image in known) / len(known)
-
-    def predict(self, serving: str, use: Mapping[str, float]) -> float:
-        """Return the expected logarithm of tail over target.
+    def added(self, serving: str, use: Mapping[str, float]) -> float:
+        """Return what filling images add to the level of a serving image.
 
         Parameters
         ----------
-        serving : str
-            Image of the serving task.
         use : mapping of str to float
             Share of the worker's processors by filling image.
         """
-        return self._baseline.mean(serving) + sum(
+        return sum(
             self.press(serving, image) * share for image, share in use.items()
         )
 
     def observe(
-        self, serving: str, level: float, use: Mapping[str, float], now_ms: int
-    ) -> None:
-        """Learn from a report.
+        self,
+        serving: str,
+        tail_ms: float,
+        load: float | None,
+        use: Mapping[str, float],
+        now_ms: int,
+    ) -> float:
+        """Learn from a report and return the load of the serving task.
 
         Parameters
         ----------
-        level : float
-            Logarithm of the reported tail over its target.
+        load : float or None
+            Load after the last report; None before the first.
         use : mapping of str to float
-            Share of the worker's processors by filling image at that time.
+            Share of the worker's processors by filling image.
         now_ms : int
             Time of the report on the boot clock.
         """
-        error = level - self.predict(serving, use)
-        squares = sum(
-            share * share for share in use.values() if share > USE_MIN
-        )
-        if squares == 0.0:
-            self._baseline.add(
-                serving, self._baseline.mean(serving) + error, 1.0, now_ms
-            )
-            return
-        self._baseline.add(
-            serving, self._baseline.mean(serving) + error, 0.2, now_ms
-        )
-        for image, share in use.items():
-            if share <= USE_MIN:
-                continue
-            self._filling.add(image)
+        floor_ms = self._floor_ms.get(serving, tail_ms)
+        self._floor_ms[serving] = min(floor_ms, tail_ms)
+        level = self.level(serving, tail_ms)
+        added = self.added(serving, use)
+        own = max(0.0, level - added)
+        if load is None:
+            return own
+        error = level - load - added
+        shares = {
+            image: share for image, share in use.items() if share > USE_MIN
+        }
+        squares = sum(share * share for share in shares.values())
+        for image, share in shares.items():
             key = (serving, image)
             sample = self._press.mean(key) + error * share / squares
-            weight = min(1.0, share / 0.1)
             self._press.add(
                 key,
-                max(-1.0, min(PRESS_MAX, sample)),
-                weight,
+                max(-PRESS_MAX, min(PRESS_MAX, sample)),
+                min(1.0, share / FULL_WEIGHT_USE),
                 now_ms,
             )
+        return load + LOAD_STEP * (own - load)
