Give long-running tasks all room but the last place

Change: a long-running task waits only for the last place of its size; short tasks go first at equal priority; steps that waited start anywhere only while under 60% of the processors are reserved.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -178,6 +178,14 @@
             and now.boot_ms - self._last_heard(worker) < HEARD_WITHIN_MS
         )
 
+    def reserved_share(self) -> float:
+        """Return the share of all processors that is reserved."""
+        whole = free = 0
+        for worker in self.workers.values():
+            whole += worker.description.processors_millicores
+            free += worker.free_millicores
+        return 1.0 - free / whole if whole else 1.0
+
     def _last_heard(self, worker: WorkerState) -> int:
         return max(
             worker.last_answer_boot_ms,
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 
+from sardinespool.dispatch.run_state import FULL_PACE
 from sardinespool.dispatch.tail_model import LOAD_PRIOR
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
@@ -17,6 +18,8 @@
 Below half its speed a run takes longer than a run that waits for the end of
 another one.
 """
+STARVED_PACE = 10
+"""Percent at which a task that waited for long starts where it presses."""
 LEVEL_MARGIN = 0.14
 """Distance that the expected level keeps from its limit, see `TailModel`."""
 LEVEL_PENALTY = 1.0
@@ -30,11 +33,11 @@
 HOSTILE_BONUS = 0.5
 """Share of a worker by which a filling task prefers, for each unit of press
 that other waiting tasks would have there, workers that these can't use."""
-SHORT_RESERVE = 0.03
-"""Share of a worker that long-running tasks leave to short ones.
+LAST_PLACES_MIN = 2
+"""Places that must be left for a long-running task to take one.
 
-Short tasks of equal priority use 4% of the processors on the users' sheets;
-long-running tasks that don't fit leave as much again.
+The last place is kept for short tasks of equal priority, which a
+long-running task would keep out for minutes.
 """
 HARMLESS_PRESS = 0.01
 """What a task may add to a level unheeded."""
@@ -70,30 +73,59 @@
         self._hostility: dict[str, float] = {}
         self._rooms: dict[str, Rooms] = {}
 
-    def workers_for(self, step: StepRecord) -> Iterator[WorkerState]:
-        """Yield a worker for one task of a step after the other.
+    def workers_for(
+        self, step: StepRecord, starved: bool
+    ) -> Iterator[tuple[WorkerState, int]]:
+        """Yield a worker and a pace for one task of a step after the other.
 
         The caller reserves the room of the task on the yielded worker
         before it asks for the next one.
+
+        Parameters
+        ----------
+        step : StepRecord
+            A ready step.
+        starved : bool
+            Its filling tasks may start at the least pace anywhere.
         """
         spec = step.spec
-        heap: list[tuple[float, int, WorkerState]] = []
+        heap: list[tuple[float, int, WorkerState, int]] = []
         for position, worker in enumerate(self._workers):
-            score = self._score(step, worker)
-            if score is not None:
-                heap.append((-score, position, worker))
+            suit = self._suit(step, worker, starved)
+            if suit is not None:
+                heap.append((-suit[0], position, worker, suit[1]))
         heapq.heapify(heap)
         while heap:
-            _, position, worker = heapq.heappop(heap)
-            yield worker
+            if spec.long_running and self._places(spec, heap) < (
+                LAST_PLACES_MIN
+            ):
+                return
+            _, position, worker, pace = heapq.heappop(heap)
+            yield worker, pace
             if spec.uses_leftover_processors or spec.tail_latency_target_ms:
                 self._rooms.pop(worker.worker_id, None)
-            score = self._score(step, worker)
-            if score is not None:
-                heapq.heappush(heap, (-score, position, worker))
+            suit = self._suit(step, worker, starved)
+            if suit is not None:
+                heapq.heappush(heap, (-suit[0], position, worker, suit[1]))
 
-    def _score(self, step: StepRecord, worker: WorkerState) -> float | None:
-        """Return how well a worker suits the next task, None if not."""
+    def _places(
+        self,
+        spec: StepSpec,
+        heap: list[tuple[float, int, WorkerState, int]],
+    ) -> int:
+        """Return how many tasks of a long-running step still fit."""
+        size = max(1, spec.processors_millicores)
+        places = 0
+        for _, _, worker, _ in heap:
+            places += worker.free_millicores // size
+            if places >= LAST_PLACES_MIN:
+                break
+        return places
+
+    def _suit(
+        self, step: StepRecord, worker: WorkerState, starved: bool
+    ) -> tuple[float, int] | None:
+        """Return score and pace of the next task on a worker, None if not."""
         spec = step.spec
         if not worker.fits(spec):
             return None
@@ -104,9 +136,10 @@
         if limit and tasks_of_step(worker, step) >= limit:
             return None
         whole = max(1, worker.description.processors_millicores)
+        pace = FULL_PACE
         score: float | None
         if spec.uses_leftover_processors:
-            score = self._fill_score(spec, worker, whole)
+            pace, score = self._fill(spec, worker, whole, starved)
         elif spec.tail_latency_target_ms:
             score = _serving_score(step, worker, whole)
         else:
@@ -115,27 +148,34 @@
             return None
         if spec.data_rack and spec.data_rack not in labels:
             score -= REMOTE_PENALTY
-        return score
+        return score, pace
 
-    def _fill_score(
-        self, spec: StepSpec, worker: WorkerState, whole: int
-    ) -> float | None:
+    def _fill(
+        self, spec: StepSpec, worker: WorkerState, whole: int, starved: bool
+    ) -> tuple[int, float | None]:
+        """Return pace and score of a filling task; None if it must wait."""
         free = worker.leftover_millicores
-        if free < FILL_SHARE_MIN * spec.processors_millicores:
-            return None
+        if free < FILL_SHARE_MIN * spec.processors_millicores and not starved:
+            return 0, None
         share = spec.processors_millicores / whole
-        worst = 0.0
+        pace = FULL_PACE
         hostility = 0.0
+        worst = 0.0
         for image, room in self._rooms_of(worker):
             added = self._press_of(image, spec.image) * share
             if added > max(room, HARMLESS_PRESS):
-                return None
+                if not starved:
+                    return 0, None
+                pace = STARVED_PACE
             worst = max(worst, added)
             hostility = max(hostility, self._hostility_of(image))
-        return free / whole - LEVEL_PENALTY * worst + HOSTILE_BONUS * hostility
+        score = (
+            free / whole - LEVEL_PENALTY * worst + HOSTILE_BONUS * hostility
+        )
+        return pace, score
 
     def _rooms_of(self, worker: WorkerState) -> Rooms:
-        """Return the room of serving images if all fills at full pace."""
+        """Return the room of serving images beside what fills."""
         rooms = self._rooms.get(worker.worker_id)
         if rooms is None:
             least: dict[str, float] = {}
@@ -150,12 +190,11 @@
                 )
                 room = limit - (LOAD_PRIOR if load is None else load)
                 least[image] = min(least.get(image, room), room)
+            use = worker.declared_use()
             rooms = [
                 (
                     image,
-                    room
-                    - LEVEL_MARGIN
-                    - self._model.added(image, worker.filling_declared),
+                    room - LEVEL_MARGIN - self._model.added(image, use),
                 )
                 for image, room in least.items()
             ]
@@ -182,13 +221,8 @@
     return sum(run.step is step for run in worker.runs.values())
 
 
-def _serving_score(
-    step: StepRecord, worker: WorkerState, whole: int
-) -> float | None:
+def _serving_score(step: StepRecord, worker: WorkerState, whole: int) -> float:
     spec = step.spec
-    left = worker.free_millicores - spec.processors_millicores
-    if left < SHORT_RESERVE * whole:
-        return None
     # The fullest worker first, so that less room is left in pieces.
     score = -worker.free_millicores / whole
     for image in worker.serving_images:
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -22,9 +22,14 @@
 STARTS_IN_PASS_MAX = 400
 """Bounds the time of one pass; the rest follows in the next one."""
 
-STARVED_PACE = 30
+STARVED_WAIT_MS = 1_500
+"""Wait after which a step of which nothing runs starts anywhere."""
+STARVED_RESERVED_MAX = 0.6
+"""Share of the processors in reservation above which steps may wait longer
+for a worker on which they press on nothing."""
+SLOWED_PACE = 30
 """Percent below which a filling run had better go elsewhere."""
-STARVED_MS = 1_200
+SLOWED_MS = 1_200
 """Two changes of pace; a shorter swing is waited out."""
 MOVE_PERCENT_MAX = 90
 RESTART_PERCENT_MAX = 30
@@ -74,11 +79,13 @@
         self._settings = settings
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
+        self._waiting_since: dict[tuple[str, int, int], int] = {}
 
     def reset(self) -> None:
         """Forget what earlier passes left."""
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
+        self._waiting_since.clear()
 
     def look_again(self) -> None:
         """Plan with the next pass: room or a step has become free."""
@@ -102,6 +109,11 @@
             if self._fleet.takes_starts(worker, now):
                 pool = worker.description.pool
                 usable.setdefault(pool, []).append(worker)
+        self._waiting_since = {
+            key: since
+            for key, since in self._waiting_since.items()
+            if key in ready
+        }
         demand = filling_demand(ready.values())
         places = {
             pool: Placing(workers, self._model, demand)
@@ -182,20 +194,29 @@
                     or not step.spec.uses_leftover_processors
                 ):
                     continue
-                if run.pace_wanted > STARVED_PACE:
+                if run.pace_wanted > SLOWED_PACE:
                     run.slowed_boot_ms = None
                 elif run.slowed_boot_ms is None:
                     run.slowed_boot_ms = now.boot_ms
-                elif now.boot_ms - run.slowed_boot_ms > STARVED_MS and (
+                elif now.boot_ms - run.slowed_boot_ms > SLOWED_MS and (
                     run.percent < MOVE_PERCENT_MAX
                     if step.spec.checkpointing
                     else run.percent < RESTART_PERCENT_MAX
                 ):
                     control.stop_run(worker, run, "slowed for long")
 
+    def _is_starved(self, step: StepRecord, now: Instant) -> bool:
+        """Return whether a step that nothing runs of has waited for long."""
+        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
+        return (
+            len(step.waiting) == step.remaining
+            and now.boot_ms - since_boot_ms > STARVED_WAIT_MS
+            and self._fleet.reserved_share() < STARVED_RESERVED_MAX
+        )
+
     def _urgency(
         self, step: StepRecord, now: Instant
-    ) -> tuple[int, int, int, str, int]:
+    ) -> tuple[int, bool, int, int, str, int]:
         """Return a sort key: priority, then the time until it is late.
 
         Jobs that are late already follow those that can be in time, and
@@ -214,6 +235,8 @@
             )
         return (
             queue.priority,
+            # A long-running task can wait for the end of a short one.
+            step.spec.long_running,
             lateness,
             objective_ms - age_ms,
             workflow.job_id,
@@ -225,17 +248,19 @@
     ) -> Planned:
         planned: Planned = []
         gang_run = max((task.run for task in step.tasks), default=0) + 1
-        workers = placing.workers_for(step)
+        workers = placing.workers_for(step, self._is_starved(step, now))
         for index in sorted(step.waiting):
-            worker = next(workers, None)
-            if worker is None:
+            place = next(workers, None)
+            if place is None:
                 break
+            worker, pace = place
             task = step.tasks[index]
             number = gang_run if step.spec.gang else task.run + 1
             run = RunState(
                 task.key, number, task, RunPhase.ORDERED, now.boot_ms
             )
             run.committed = False
+            run.pace_wanted = pace
             worker.add_run(run)
             planned.append((worker, run))
         if step.spec.gang and len(planned) < step.spec.count:
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -41,9 +41,8 @@
         Processors that tasks without reserved processors could use.
     serving_images : dict of str to int
         Serving runs by image.
-    filling_use, filling_declared : dict of str to float
-        Share of the worker's processors by image that fills: what was
-        measured, and what its runs use at full pace.
+    filling_use : dict of str to float
+        Measured share of the worker's processors by image that fills.
     """
 
     def __init__(
@@ -76,7 +75,6 @@
         self.filling_millicores = 0
         self.serving_images: dict[str, int] = {}
         self.filling_use: dict[str, float] = {}
-        self.filling_declared: dict[str, float] = {}
         self.pace_changed_boot_ms = 0
 
     @property
@@ -127,6 +125,20 @@
             if step is not None and step.spec.uses_leftover_processors:
                 self._add_use(step.spec.image, run.used_millicores / whole)
 
+    def declared_use(self) -> dict[str, float]:
+        """Return the share of the processors by image at full pace.
+
+        Slowed runs count in full: they are to go on at full pace.
+        """
+        whole = max(1, self.description.processors_millicores)
+        use: dict[str, float] = {}
+        for run in self.runs.values():
+            step = run.step
+            if step is not None and step.spec.uses_leftover_processors:
+                share = step.spec.processors_millicores / whole
+                use[step.spec.image] = use.get(step.spec.image, 0.0) + share
+        return use
+
     def _add_use(self, image: str, share: float) -> None:
         self.filling_use[image] = self.filling_use.get(image, 0.0) + share
 
@@ -146,11 +158,8 @@
         if step.uses_leftover_processors:
             self.filling_millicores -= sign * step.processors_millicores
             whole = max(1, self.description.processors_millicores)
-            share = step.processors_millicores / whole
-            declared = self.filling_declared.get(step.image, 0.0)
-            self.filling_declared[step.image] = declared - sign * share
             if sign < 0:
-                self._add_use(step.image, share)
+                self._add_use(step.image, step.processors_millicores / whole)
             return
         self.free_millicores += sign * step.processors_millicores
         busy = step.processors_millicores
