Open a group's files again after a failed write

Change: the controller closes the group, keeps forwarding calls, and opens the files again each second; a corrupt log still ends the process.

--- a/src/sardinespool/programs/controller/controller_process.py
+++ b/src/sardinespool/programs/controller/controller_process.py
@@ -6,6 +6,8 @@
 from sardinespool.dispatch.control_service import ControlService
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.storage import CorruptLogError
+from sardinespool.errors.storage import StorageError
 from sardinespool.errors.transport import NotReadyError
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.codec import Reply
@@ -36,6 +38,8 @@
 LINKS_SWEEP_INTERVAL_MS = 1_000
 TRANSFER_TIMEOUT_MS = 1_000
 """Time for another member to take over; an election takes 1.5 s at most."""
+STORAGE_RETRY_MS = 1_000
+"""Pause before the files are opened again; each try writes to the disk."""
 PLANNING_INTERVAL_MS = 2
 """Shortest time between two planning passes."""
 
@@ -68,19 +72,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         cluster = cluster_of(settings.cluster_token)
         self._connector = Connector(cluster, "controller", settings.address)
-        self._machine = ControlMachine()
         self._links = WorkerLinks(self._make_link)
-        self._dispatcher = Dispatcher(
-            self._machine, settings.dispatch, self._links.wake
-        )
-        self._runner = GroupRunner(self._make_batches())
+        self._runners: dict[str, GroupRunner] = {}
+        self._open_group()
         self._server = FrameServer(
             settings.cluster_token,
-            GroupEndpoint(
-                {CONTROL_GROUP: self._runner},
-                self._store_metrics,
-                self._stopping,
-            ),
+            GroupEndpoint(self._runners, self._store_metrics, self._stopping),
             None,
         )
         self._client = GroupClient(
@@ -102,7 +99,7 @@
 
     def start(self) -> None:
         """Listen and join the group."""
-        self._tasks.append(asyncio.create_task(self._runner.run()))
+        self._tasks.append(asyncio.create_task(self._run_group()))
         self._tasks.append(asyncio.create_task(self._sweep_links()))
         self._server.start_listening(self._settings.address)
 
@@ -152,6 +149,40 @@
         self._server.close()
         await self._connector.close()
 
+    def _open_group(self) -> None:
+        """Read the files of the group and make its parts from them."""
+        self._machine = ControlMachine()
+        self._dispatcher = Dispatcher(
+            self._machine, self._settings.dispatch, self._links.wake
+        )
+        self._runner = GroupRunner(self._make_batches())
+        self._runners[CONTROL_GROUP] = self._runner
+
+    async def _run_group(self) -> None:
+        """Run the group; read its files again after a failed write.
+
+        A disk that is full for a while must not end the process, which goes
+        on forwarding calls to the leader meanwhile.
+        """
+        while True:
+            try:
+                await self._runner.run()
+            except StorageError as error:
+                _LOG.error(error.text, address=self._settings.address)
+            self._links.close()
+            while True:
+                await asyncio.sleep(STORAGE_RETRY_MS / 1000)
+                try:
+                    self._open_group()
+                except CorruptLogError:
+                    # Waiting does not mend the files.
+                    raise
+                except StorageError as error:
+                    _LOG.error(error.text, address=self._settings.address)
+                else:
+                    _LOG.info("group opened", address=self._settings.address)
+                    break
+
     def _make_link(self, worker_id: str) -> WorkerLink:
         return WorkerLink(
             worker_id,
