Keep room at the peak of a load and follow unanswered starts

Cause: (1) at the peak of its load a serving task left no room for what fills, though it could only fall; full workers were mixed with other serving images before empty ones were opened. (2) the new stand-in of workers in virtual time showed runs that start again in a worker's next life, from a start that had got no answer. Change: the margin shrinks towards the peak of an image's load; serving images mix only when no worker is free of others; starts without answer are remembered for 12 s, also those cut off by the end of a life, and stopped on the next life. The stand-in worker, its oracle and seeded fault runs are in testing/dispatch.

--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -144,6 +144,7 @@
                 run.retry_boot_ms = now.boot_ms + self._settings.retry_ms
                 if sent and isinstance(order, StartRun):
                     run.unanswered += 1
+                    worker.unanswered_starts[run.key] = (now.boot_ms, run)
                 if not sent:
                     self._unheard(worker, reason)
 
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -148,6 +148,10 @@
         )
         self.workers[worker.worker_id] = fresh
         for run in list(worker.runs.values()):
+            if run.in_flight:
+                # The call was cut off; nobody knows whether it arrived.
+                run.unanswered += 1
+                worker.unanswered_starts[run.key] = (now.boot_ms, run)
             if run.unanswered and run.phase is not RunPhase.ENDED:
                 run.phase = RunPhase.ORDERED
                 run.stop_wanted = True
@@ -157,6 +161,24 @@
                 fresh.add_run(run)
             else:
                 self._end_run(worker, run, "lost", "worker started anew")
+        self._stop_late_starts(worker, fresh, now)
+
+    def _stop_late_starts(
+        self, worker: WorkerState, fresh: WorkerState, now: Instant
+    ) -> None:
+        """Stop what unanswered starts of runs that have ended may start."""
+        since_boot_ms = now.boot_ms - self._settings.late_order_ms
+        for key, (sent_boot_ms, old) in worker.unanswered_starts.items():
+            if sent_boot_ms < since_boot_ms:
+                continue
+            fresh.unanswered_starts[key] = (sent_boot_ms, old)
+            if key in fresh.runs:
+                continue
+            run = RunState(*key, old.task, RunPhase.ORDERED, now.boot_ms)
+            run.unanswered = 1
+            run.stop_wanted = True
+            run.stop_reason = "unanswered start of an earlier life"
+            fresh.add_run(run)
 
     def drop(self, worker: WorkerState, reason: str) -> None:
         """Forget a worker and end its runs."""
--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -11,8 +11,8 @@
 SLOW_MARGIN = 0.04
 """Distance of a level from its limit at which what fills is slowed."""
 AIM_MARGIN = 0.1
-"""Distance from the limit that a new pace aims at; a load rises by 0.1 in
-the second until the next change takes effect."""
+"""Distance from the limit that a slower pace aims at; a load rises by 0.1
+in the second until the next change takes effect."""
 CHANGE_INTERVAL_MS = 600
 """The tail lags half a second behind, and a new pace takes 100 ms."""
 REPORT_INTERVAL_MS = 400
@@ -24,8 +24,8 @@
 PACE_CHANGE_MIN = 8
 """Smaller changes are not worth a call."""
 
-Pressed = list[tuple[str, float]]
-"""Image and distance from the limit of each serving run of a worker."""
+Pressed = list[tuple[str, float, float]]
+"""Image, distance from the limit and margin of each serving run."""
 
 
 class Pacing:
@@ -63,15 +63,18 @@
                 self._learn(worker, run, image, run.load, now)
                 limit = self._model.level(image, target_ms)
                 level = self._model.level(image, run.load)
-                pressed.append((image, limit - level))
+                load = run.serving_load or 0.0
+                pressed.append(
+                    (image, limit - level, self._model.margin(image, load))
+                )
             elif step.spec.uses_leftover_processors and not run.stop_wanted:
                 filling.append(run)
         elapsed_ms = now.boot_ms - worker.pace_changed_boot_ms
         if not filling or elapsed_ms < CHANGE_INTERVAL_MS:
             return
         changed = False
-        if pressed and min(left for _, left in pressed) < SLOW_MARGIN:
-            for image, left in pressed:
+        if pressed and min(left for _, left, _ in pressed) < SLOW_MARGIN:
+            for image, left, _ in pressed:
                 if left < SLOW_MARGIN:
                     changed |= self._slow(worker, filling, image, left)
         else:
@@ -137,8 +140,8 @@
     ) -> bool:
         changed = False
         room: dict[str, float] = {}
-        for image, left in pressed:
-            room[image] = min(room.get(image, left), left - AIM_MARGIN)
+        for image, left, margin in pressed:
+            room[image] = min(room.get(image, left), left - margin)
         for run in filling:
             if run.pace_wanted >= FULL_PACE or run.step is None:
                 continue
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -20,14 +20,12 @@
 """
 STARVED_PACE = 10
 """Percent at which a task that waited for long starts where it presses."""
-LEVEL_MARGIN = 0.14
-"""Distance that the expected level keeps from its limit, see `TailModel`."""
 LEVEL_PENALTY = 1.0
 """Share of a worker that a unit of added level costs."""
 SAME_JOB_BONUS = 0.3
 """The tasks of one job have their peaks of load at the same time."""
 SAME_IMAGE_BONUS = 0.5
-OTHER_IMAGE_PENALTY = 0.4
+OTHER_IMAGE_PENALTY = 1.5
 """Serving images are kept apart, so that each filling image finds workers
 whose serving images it does not press on."""
 HOSTILE_BONUS = 0.5
@@ -188,13 +186,15 @@
                 limit = self._model.level(
                     image, step.spec.tail_latency_target_ms
                 )
-                room = limit - (LOAD_PRIOR if load is None else load)
+                if load is None:
+                    load = LOAD_PRIOR
+                room = limit - load - self._model.margin(image, load)
                 least[image] = min(least.get(image, room), room)
             use = worker.declared_use()
             rooms = [
                 (
                     image,
-                    room - LEVEL_MARGIN - self._model.added(image, use),
+                    room - self._model.added(image, use),
                 )
                 for image, room in least.items()
             ]
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -29,6 +29,15 @@
 LOAD_STEP = 0.5
 """Weight of the last report in the load of a serving task."""
 
+MARGIN_MAX = 0.14
+"""Distance that a level keeps from its limit while the load may rise; it
+rises by up to 0.13 a second."""
+MARGIN_MIN = 0.05
+"""Distance that a level keeps at the peak of its load."""
+PEAK_RISE = 0.2
+PEAK_FALL = 0.003
+"""Steps of the estimate of an image's peak load for each report."""
+
 
 class TailModel:
     """Learned press by pair of images (serving, filling)."""
@@ -38,6 +47,7 @@
             PRESS_PRIOR, PRESS_DEVIATION, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
         )
         self._floor_ms: dict[str, float] = {}
+        self._peak: dict[str, float] = {}
 
     def level(self, serving: str, tail_ms: float) -> float:
         """Return the level of a tail, from 0 at its floor to 1.
@@ -68,6 +78,17 @@
             self.press(serving, image) * share for image, share in use.items()
         )
 
+    def margin(self, serving: str, load: float) -> float:
+        """Return the distance that a level must keep from its limit.
+
+        Parameters
+        ----------
+        load : float
+            Present load; it is not expected to rise above the image's peak.
+        """
+        peak = self._peak.get(serving, 1.0)
+        return min(MARGIN_MAX, max(MARGIN_MIN, peak - load))
+
     def observe(
         self,
         serving: str,
@@ -108,4 +129,8 @@
                 min(1.0, share / FULL_WEIGHT_USE),
                 now_ms,
             )
-        return load + LOAD_STEP * (own - load)
+        load += LOAD_STEP * (own - load)
+        peak = self._peak.get(serving, load)
+        step = PEAK_RISE if load > peak else PEAK_FALL
+        self._peak[serving] = peak + step * (load - peak)
+        return load
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -20,6 +20,11 @@
 
     Attributes
     ----------
+    pending : dict of RunKey to RunState
+        Runs for which an order may be outstanding.
+    unanswered_starts : dict of RunKey to (int, RunState)
+        Boot time and run of starts that may still be carried out, also of
+        runs that have ended.
     answered : bool
         Whether the worker answered the last call; nothing is placed on it
         otherwise.
@@ -59,6 +64,7 @@
         self.free_accelerators = description.accelerators
         self.runs: dict[RunKey, RunState] = {}
         self.pending: dict[RunKey, RunState] = {}
+        self.unanswered_starts: dict[RunKey, tuple[int, RunState]] = {}
         self.sequence = -1
         self.answered = False
         self.reconciled = False
--- /dev/null
+++ b/testing/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dispatch."""
--- /dev/null
+++ b/testing/dispatch/test_faults.py
@@ -0,0 +1,161 @@
+"""Whole runs of the dispatcher against stand-in workers, with faults."""
+
+import random
+
+import pytest
+
+from sardinespool.messages.workflows import StepSpec
+from testing.dispatch.world import World
+
+JOBS = 12
+
+
+def submit_jobs(world: World, seed: int) -> list[str]:
+    """Submit jobs of one to three steps, a few each second."""
+    shapes = random.Random(seed)
+    names = []
+    for number in range(JOBS):
+        name = f"job{number:02d}"
+        names.append(name)
+        steps = tuple(
+            StepSpec(
+                count=shapes.randint(1, 5),
+                processors_millicores=shapes.choice([500, 1_000, 2_000]),
+                memory_mb=100,
+                expected_run_ms=700,
+                after=(position - 1,) if position else (),
+            )
+            for position in range(shapes.randint(1, 3))
+        )
+        world.submit(name, *steps)
+        world.run(shapes.randint(50, 600))
+        while not world.serving:
+            world.run(100)
+    return names
+
+
+def settle(world: World, names: list[str]) -> None:
+    """Run without faults until all jobs have ended."""
+    world.faults.unanswered = 0.0
+    for worker in world.workers.values():
+        worker.reachable = True
+        if not worker.up:
+            worker.begin_life(world.now_ms)
+    for _ in range(60):
+        world.run(1_000)
+        if all(world.machine.table.workflows[name].is_final for name in names):
+            break
+    states = {
+        name: world.machine.table.workflows[name].state for name in names
+    }
+    assert world.oracle.broken == []
+    assert set(states.values()) <= {"completed", "failed", "cancelled"}
+    for name, state in states.items():
+        if state == "completed":
+            spec = world.oracle.specs[name]
+            for position, step in enumerate(spec.steps):
+                for index in range(step.count):
+                    task = f"{name}.0.{position}.{index}"
+                    assert task in world.oracle.done
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_calm_run_completes_every_job(seed: int) -> None:
+    """Guards against tasks that start twice, early or over a room."""
+    world = World(seed)
+    names = submit_jobs(world, seed)
+    settle(world, names)
+    assert world.oracle.starts >= JOBS
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_orders_without_answer_do_no_harm(seed: int) -> None:
+    """Guards against a late start beside the next run of its task."""
+    world = World(seed)
+    world.faults.unanswered = 0.15
+    world.faults.late = 0.7
+    settle(world, submit_jobs(world, seed))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_workers_crash_and_start_anew(seed: int) -> None:
+    """Guards against runs of an earlier life that are taken for running."""
+    world = World(seed)
+    world.faults.unanswered = 0.05
+    world.faults.late = 0.5
+    choice = random.Random(seed)
+    for delay_ms in range(500, 6_000, 1_500):
+        worker = world.workers[choice.choice(sorted(world.workers))]
+        world.at(delay_ms, worker.crash)
+        world.at(
+            delay_ms + choice.randint(100, 5_000),
+            lambda worker=worker: worker.begin_life(world.now_ms),
+        )
+    settle(world, submit_jobs(world, seed))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_cut_off_workers_run_on(seed: int) -> None:
+    """Guards against a second run while a lease is in force."""
+    world = World(seed)
+
+    def cut(worker_id: str, reachable: bool) -> None:
+        world.workers[worker_id].reachable = reachable
+
+    choice = random.Random(seed)
+    for delay_ms in range(300, 6_000, 1_200):
+        worker_id = choice.choice(sorted(world.workers))
+        world.at(delay_ms, lambda w=worker_id: cut(w, False))
+        world.at(
+            delay_ms + choice.randint(500, 9_000),
+            lambda w=worker_id: cut(w, True),
+        )
+    settle(world, submit_jobs(world, seed))
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_leader_changes_keep_the_rules(seed: int) -> None:
+    """Guards against a new leader that starts what still runs."""
+    world = World(seed)
+    world.faults.unanswered = 0.1
+    world.faults.late = 0.6
+    choice = random.Random(seed)
+    for delay_ms in range(400, 6_000, 1_900):
+        world.at(
+            delay_ms,
+            lambda: (
+                world.lose_leader(choice.randint(50, 2_500))
+                if world.serving
+                else None
+            ),
+        )
+    settle(world, submit_jobs(world, seed))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_cancelled_jobs_stop(seed: int) -> None:
+    """Guards against tasks of a cancelled job that run on or start."""
+    world = World(seed)
+    world.faults.unanswered = 0.1
+    names = submit_jobs(world, seed)
+    for name in names[::3]:
+        world.cancel(name)
+    world.run(4_000)
+    for name in names[::3]:
+        for worker in world.workers.values():
+            assert not any(task.startswith(name) for task in worker.running)
+    settle(world, names)
+
+
+def test_failing_worker_does_not_use_up_the_attempts() -> None:
+    """Guards against jobs that fail since one worker fails everything."""
+    world = World(3)
+    world.workers["w0"].failing = True
+    names = submit_jobs(world, 3)
+    settle(world, names)
+    failed = [
+        name
+        for name in names
+        if world.machine.table.workflows[name].state == "failed"
+    ]
+    assert failed == []
--- /dev/null
+++ b/testing/dispatch/worker_standin.py
@@ -0,0 +1,204 @@
+"""A worker in virtual time, as the dispatcher's orders see it.
+
+It keeps its own log of starts; the oracle judges by that and never by what
+the dispatcher says of itself.
+"""
+
+import dataclasses
+import random
+
+from sardinespool.dispatch.orders import EndedRow
+from sardinespool.dispatch.orders import HoldAnswer
+from sardinespool.dispatch.orders import HoldDone
+from sardinespool.dispatch.orders import HoldWorker
+from sardinespool.dispatch.orders import Order
+from sardinespool.dispatch.orders import OrderAnswer
+from sardinespool.dispatch.orders import OrderDone
+from sardinespool.dispatch.orders import OrderRefused
+from sardinespool.dispatch.orders import PaceRun
+from sardinespool.dispatch.orders import Refusal
+from sardinespool.dispatch.orders import RunningRow
+from sardinespool.dispatch.orders import StartRun
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.messages.fleet import WorkerDescription
+from sardinespool.messages.workflows import RunOutcome
+from testing.dispatch.oracle import Oracle
+
+LONGEST_LEASE_MS = 6_000
+STOP_MS = 300
+
+
+@dataclasses.dataclass
+class Running:
+    """A run on the worker; `ends_ms` is in the world's time."""
+
+    run: int
+    ends_ms: int
+    outcome: RunOutcome
+
+
+class StandInWorker:
+    """One worker with its lives.
+
+    Parameters
+    ----------
+    worker_id : str
+        Kept over all lives.
+    oracle : Oracle
+        Judges each start and end.
+    seed : int
+        Seed of run times and failures.
+    failing : bool
+        Whether everything that starts here fails.
+    """
+
+    def __init__(
+        self, worker_id: str, oracle: Oracle, seed: int, failing: bool = False
+    ) -> None:
+        self.worker_id = worker_id
+        self.failing = failing
+        self.up = True
+        self.reachable = True
+        self._oracle = oracle
+        self._random = random.Random(seed)
+        self._rate = self._random.choice([0.98, 0.99, 1.0])
+        self.life = 0
+        self.begin_life(0)
+
+    def begin_life(self, now_ms: int) -> None:
+        """Start anew: nothing runs and nothing is remembered."""
+        self.life += 1
+        self.up = True
+        self._born_ms = now_ms
+        self._token = 0
+        self._lease_end_ms = 0
+        self._ends = 0
+        self.running: dict[str, Running] = {}
+        self._ended: list[EndedRow] = []
+        self._highest: dict[str, int] = {}
+        self._oracle.worker_down(self.worker_id)
+
+    def crash(self) -> None:
+        """Stop at once; what ran is gone."""
+        self.up = False
+        self.running.clear()
+        self._oracle.worker_down(self.worker_id)
+
+    def description(self, draining: bool = False) -> WorkerDescription:
+        """Return what the worker says of itself."""
+        return WorkerDescription(
+            worker_id=self.worker_id,
+            life=self.life,
+            address="10.0.0.1:80",
+            pool="pool",
+            failure_domain="centro",
+            host=self.worker_id,
+            labels=(),
+            processors_millicores=4_000,
+            memory_mb=8_000,
+            accelerators=0,
+            draining=draining,
+        )
+
+    def clock(self, now_ms: int) -> int:
+        """Return the worker's own clock, which may be slow."""
+        return int((now_ms - self._born_ms) * self._rate)
+
+    def advance(self, now_ms: int) -> None:
+        """End the runs that are due and those whose lease has ended."""
+        if not self.up:
+            return
+        lapsed = self.clock(now_ms) >= self._lease_end_ms
+        for task, running in list(self.running.items()):
+            if lapsed:
+                self._end(task, "lost")
+            elif now_ms >= running.ends_ms:
+                self._end(task, running.outcome)
+
+    def carry_out(self, order: Order, now_ms: int) -> OrderAnswer:
+        """Carry an order out and return the answer."""
+        self.advance(now_ms)
+        clock_ms = self.clock(now_ms)
+        if order.fencing_token < self._token:
+            return OrderRefused(Refusal.FENCED, clock_ms)
+        self._token = order.fencing_token
+        match order:
+            case StartRun():
+                return self._start(order, now_ms)
+            case StopRun(task=task, run=run):
+                self._highest[task] = max(run, self._highest.get(task, 0))
+                running = self.running.get(task)
+                if running is not None and running.run == run:
+                    running.outcome = "stopped"
+                    running.ends_ms = min(running.ends_ms, now_ms + STOP_MS)
+            case PaceRun():
+                pass
+        return OrderDone(clock_ms)
+
+    def hold(self, hold: HoldWorker, now_ms: int) -> HoldAnswer:
+        """Extend the lease, forget acknowledged ends, list the rest."""
+        self.advance(now_ms)
+        clock_ms = self.clock(now_ms)
+        if hold.fencing_token < self._token:
+            return OrderRefused(Refusal.FENCED, clock_ms)
+        self._token = hold.fencing_token
+        if hold.lease_end_ms is not None:
+            self._extend(hold.lease_end_ms, clock_ms)
+        for row in self._ended:
+            if row.number <= hold.acknowledged_end:
+                self._oracle.acknowledged(row.task, row.outcome)
+        self._ended = [
+            row for row in self._ended if row.number > hold.acknowledged_end
+        ]
+        return self.lists(now_ms)
+
+    def lists(self, now_ms: int) -> HoldDone:
+        """Return what runs and what has ended."""
+        running = tuple(
+            RunningRow(task, item.run, "", 50, None)
+            for task, item in self.running.items()
+        )
+        return HoldDone(
+            self.clock(now_ms), self.life, running, tuple(self._ended)
+        )
+
+    @property
+    def has_ends(self) -> bool:
+        """Whether a hold would return at once."""
+        return bool(self._ended)
+
+    def _start(self, order: StartRun, now_ms: int) -> OrderAnswer:
+        clock_ms = self.clock(now_ms)
+        running = self.running.get(order.task)
+        if running is not None and running.run == order.run:
+            self._extend(order.lease_end_ms, clock_ms)
+            return OrderDone(clock_ms)
+        if order.run <= self._highest.get(order.task, 0):
+            return OrderRefused(Refusal.OLD, clock_ms)
+        if order.lease_end_ms <= clock_ms:
+            return OrderRefused(Refusal.LATE, clock_ms)
+        self._extend(order.lease_end_ms, clock_ms)
+        outcome: RunOutcome = "done"
+        if self.failing or self._random.random() < 0.05:
+            outcome = "failed"
+        duration_ms = self._random.randint(100, 1_500)
+        self.running[order.task] = Running(
+            order.run, now_ms + duration_ms, outcome
+        )
+        self._oracle.started(order.task, self.worker_id)
+        return OrderDone(clock_ms)
+
+    def _extend(self, lease_end_ms: int, clock_ms: int) -> None:
+        limit_ms = clock_ms + LONGEST_LEASE_MS
+        self._lease_end_ms = max(
+            self._lease_end_ms, min(lease_end_ms, limit_ms)
+        )
+
+    def _end(self, task: str, outcome: RunOutcome) -> None:
+        running = self.running.pop(task)
+        self._highest[task] = max(running.run, self._highest.get(task, 0))
+        self._ends += 1
+        self._ended.append(
+            EndedRow(self._ends, task, running.run, outcome, "")
+        )
+        self._oracle.ended(task, self.worker_id, outcome)
--- /dev/null
+++ b/testing/dispatch/world.py
@@ -0,0 +1,291 @@
+"""Dispatcher, log and stand-in workers in virtual time, with faults."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.control_service import ControlService
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.orders import HoldAnswer
+from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.dispatch.orders import OrderAnswer
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.groups.contract import Answer
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import CommandBody
+from sardinespool.messages.fleet import ReportWorker
+from sardinespool.messages.manifest import PoolSpec
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.workflows import CancelWorkflow
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.messages.workflows import SubmitWorkflow
+from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.replication.status import ReplicaStatus
+from sardinespool.replication.status import Role
+from testing.dispatch.oracle import Oracle
+from testing.dispatch.worker_standin import StandInWorker
+
+STEP_MS = 5
+HEARTBEAT_MS = 1_000
+COMMIT_MS = 20
+HOST = "host"
+PREFIX = "/q/"
+
+
+@dataclasses.dataclass
+class Faults:
+    """Share of the calls that get no answer, and what becomes of them."""
+
+    unanswered: float = 0.0
+    late: float = 0.0
+
+
+class World:
+    """One control group whose leader may change, and its workers."""
+
+    def __init__(self, seed: int, workers: int = 4) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 0
+        self.oracle = Oracle()
+        self.faults = Faults()
+        self.machine = ControlMachine()
+        self.settings = DispatchSettings()
+        self.term = 0
+        self.serving = False
+        self.workers = {
+            f"w{number}": StandInWorker(
+                f"w{number}", self.oracle, self.random.getrandbits(32)
+            )
+            for number in range(workers)
+        }
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._holding: dict[str, bool] = {}
+        self._in_commit = False
+        self._sequence = itertools.count(1)
+        self._next_beat_ms = 0
+        self._apply(
+            PublishManifest(
+                version=1,
+                queues=(
+                    QueueSpec(
+                        name="q",
+                        host=HOST,
+                        prefix=PREFIX,
+                        pool="pool",
+                        priority=0,
+                        failures_max=3,
+                        stretch=2.0,
+                        latency_objective_ms=500,
+                    ),
+                ),
+                pools=(PoolSpec(name="pool"),),
+                source=b"{}",
+            )
+        )
+        self.lead()
+
+    def now(self) -> Instant:
+        return Instant(self.now_ms + 50_000, self.now_ms + 1_000_000)
+
+    def lead(self) -> None:
+        """Let a new leader take over the committed state."""
+        self.term += 1
+        self.dispatcher = Dispatcher(
+            self.machine, self.settings, lambda worker_id: None
+        )
+        self.service = ControlService(
+            self.machine, self.dispatcher, self._status
+        )
+        self.service.become_leader(self.now())
+        self.serving = True
+        self._in_commit = False
+        self._holding = {}
+
+    def lose_leader(self, downtime_ms: int) -> None:
+        """End the leader; another one follows."""
+        self.service.step_down()
+        self.serving = False
+        self.at(downtime_ms, self.lead)
+
+    def submit(self, job_id: str, *steps: StepSpec) -> None:
+        spec = WorkflowSpec(payload="text", steps=steps)
+        self.oracle.specs[job_id] = spec
+        self.request(
+            SubmitWorkflow(host=HOST, path=PREFIX + job_id, spec=spec)
+        )
+
+    def cancel(self, job_id: str) -> None:
+        self.oracle.cancelled_ms[job_id] = self.now_ms
+        self.request(CancelWorkflow(host=HOST, path=PREFIX + job_id))
+
+    def request(self, request: Request) -> None:
+        """Serve a request now; the leader must be serving."""
+        outcome = self.service.handle(request, self.now())
+        if isinstance(outcome, Answer):
+            return
+        result = self._apply(outcome.body)
+        self.service.complete(request, result, self.now())
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        heapq.heappush(
+            self._queue, (self.now_ms + delay_ms, next(self._order), action)
+        )
+
+    def run(self, duration_ms: int) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            self.oracle.now_ms = self.now_ms
+            for worker in self.workers.values():
+                worker.advance(self.now_ms)
+            while self._queue and self._queue[0][0] <= self.now_ms:
+                heapq.heappop(self._queue)[2]()
+            if self.serving:
+                self._step()
+
+    def _step(self) -> None:
+        if self.now_ms >= self._next_beat_ms:
+            self._next_beat_ms = self.now_ms + HEARTBEAT_MS
+            for worker in self.workers.values():
+                if worker.up and worker.reachable:
+                    self._beat(worker)
+        for worker in self.workers.values():
+            self._send_hold(worker)
+            self._send_orders(worker)
+        if not self._in_commit:
+            for body in self.service.tick(self.now()):
+                self._in_commit = True
+                self.at(COMMIT_MS, self._committing(body, self.service))
+
+    def _beat(self, worker: StandInWorker) -> None:
+        self.request(
+            ReportWorker(
+                description=worker.description(),
+                sequence=next(self._sequence),
+                clock_ms=worker.clock(self.now_ms),
+            )
+        )
+
+    def _committing(
+        self, body: CommandBody, service: ControlService
+    ) -> Callable[[], None]:
+        def commit() -> None:
+            # The proposal of a lost leader may or may not be committed.
+            if service is not self.service or not self.serving:
+                if self.random.random() < 0.5 and not self.serving:
+                    self._apply(body)
+                return
+            result = self._apply(body)
+            self._in_commit = False
+            service.applied(body, result, self.now())
+
+        return commit
+
+    def _send_hold(self, worker: StandInWorker) -> None:
+        worker_id = worker.worker_id
+        if self._holding.get(worker_id):
+            return
+        hold = self.dispatcher.next_hold(worker_id, self.now())
+        if hold is None:
+            return
+        self._holding[worker_id] = True
+        dispatcher = self.dispatcher
+        life = dispatcher.fleet.workers[worker_id].description.life
+        sent_boot_ms = self.now().boot_ms
+
+        def answer(result: HoldAnswer) -> None:
+            if dispatcher is self.dispatcher and self.serving:
+                self._holding[worker_id] = False
+                dispatcher.hold_answered(
+                    worker_id, life, result, sent_boot_ms, self.now()
+                )
+
+        if not self._answers(worker):
+            lost = NoAnswer(sent=True, reason="no answer")
+            self.at(self.settings.order_timeout_ms, lambda: answer(lost))
+            return
+        first = worker.hold(hold, self.now_ms)
+        wait_ms = 1 if worker.has_ends else max(1, hold.wait_ms // 4)
+
+        def later() -> None:
+            answer(
+                worker.lists(self.now_ms)
+                if worker.up and not isinstance(first, NoAnswer)
+                else NoAnswer(sent=True, reason="crashed")
+            )
+
+        self.at(wait_ms, later)
+
+    def _send_orders(self, worker: StandInWorker) -> None:
+        dispatcher = self.dispatcher
+        while True:
+            due = dispatcher.next_order(worker.worker_id, self.now())
+            if due is None:
+                return
+            key, order = due
+            state = dispatcher.fleet.workers[worker.worker_id]
+            life = state.description.life
+
+            def answer(
+                result: OrderAnswer,
+                key: tuple[str, int] = key,
+                order: object = order,
+                life: int = life,
+            ) -> None:
+                if dispatcher is self.dispatcher and self.serving:
+                    dispatcher.order_answered(
+                        worker.worker_id, life, key, order, result, self.now()
+                    )
+
+            if self._answers(worker):
+                result = worker.carry_out(order, self.now_ms)
+                self.at(2, lambda a=answer, r=result: a(r))
+                continue
+            if self.random.random() < self.faults.late:
+
+                def late(order: object = order) -> None:
+                    if worker.up:
+                        worker.carry_out(order, self.now_ms)
+
+                self.at(self.random.randint(2_000, 12_000), late)
+            lost = NoAnswer(sent=True, reason="no answer")
+            self.at(
+                self.settings.order_timeout_ms, lambda a=answer, r=lost: a(r)
+            )
+
+    def _answers(self, worker: StandInWorker) -> bool:
+        return (
+            worker.up
+            and worker.reachable
+            and self.random.random() >= self.faults.unanswered
+        )
+
+    def _apply(self, body: CommandBody) -> Reply:
+        return self.machine.apply(
+            Command(proposed_unix_ms=self.now().unix_ms, body=body), 0
+        )
+
+    def _status(self) -> ReplicaStatus:
+        return ReplicaStatus(
+            identity="a#1",
+            formed=True,
+            role=Role.LEADER,
+            term=self.term,
+            leader="a#1",
+            commit_index=1,
+            applied_index=1,
+            first_log_index=1,
+            last_log_index=1,
+            snapshot_index=0,
+            voters=("a#1",),
+            learners=(),
+            lease_deadline_boot_ms=0,
+        )
