Test the table, manifests, wire types and removal of voters

Cause: the new parts had only the fault runs of the dispatcher. Change: tables of cases for the job table, manifest versions, every answer of a worker and every foreign heartbeat, and for the removal of a dead voter.

--- a/src/sardinespool/platform/worker_client.py
+++ b/src/sardinespool/platform/worker_client.py
@@ -48,7 +48,7 @@
             except InvalidMessageError as error:
                 _LOG.warning(error.text, worker=worker.worker_id)
                 return NoAnswer(sent=True, reason="unreadable lists")
-        refusal = _refusal(answer)
+        refusal = meaning_of(answer)
         if isinstance(refusal, OrderDone):
             return NoAnswer(sent=True, reason=f"status {answer.status}")
         return refusal
@@ -65,7 +65,7 @@
         answer = await self._call(worker, lane, path, body, timeout_ms)
         if not isinstance(answer, HttpAnswer):
             return answer
-        return _refusal(answer)
+        return meaning_of(answer)
 
     def forget(self, worker_id: str) -> None:
         """Close the connections to a worker."""
@@ -100,7 +100,7 @@
                 return NoAnswer(sent=True, reason=result.reason)
 
 
-def _refusal(
+def meaning_of(
     answer: HttpAnswer,
 ) -> OrderDone | OrderRefused | OtherWorker | NoAnswer:
     """Return what a status means for an order."""
--- /dev/null
+++ b/testing/platform/test_wire.py
@@ -0,0 +1,246 @@
+"""Bodies of the platform and the types that they become."""
+
+import json
+from typing import Any
+
+import pytest
+
+from sardinespool.dispatch.orders import HoldWorker
+from sardinespool.dispatch.orders import OrderDone
+from sardinespool.dispatch.orders import OrderRefused
+from sardinespool.dispatch.orders import OtherWorker
+from sardinespool.dispatch.orders import PaceRun
+from sardinespool.dispatch.orders import Refusal
+from sardinespool.dispatch.orders import StartRun
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.errors.configuration import InvalidManifestError
+from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.platform.wire_jobs import decode_job
+from sardinespool.platform.wire_operator import decode_manifest
+from sardinespool.platform.wire_workers import decode_heartbeat
+from sardinespool.platform.wire_workers import decode_hold
+from sardinespool.platform.wire_workers import encode_hold
+from sardinespool.platform.wire_workers import encode_order
+from sardinespool.platform.worker_client import meaning_of
+from sardinespool.transport.http_messages import HttpAnswer
+
+BEAT: dict[str, Any] = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "norte",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16_000, "requested_memory_mb": 32_768, "gpus": 2},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482_113,
+    "sequence": 4,
+    "born": 17,
+    "machine": "m-0a3f1",
+}
+
+
+def test_heartbeat_fields() -> None:
+    """Guards against a field that lands in another one's place."""
+    report = decode_heartbeat("i-1", json.dumps(BEAT).encode())
+    worker = report.description
+    assert (worker.worker_id, worker.life, worker.host) == (
+        "i-1",
+        17,
+        "m-0a3f1",
+    )
+    assert (worker.processors_millicores, worker.memory_mb) == (16_000, 32_768)
+    assert worker.accelerators == 2
+    assert worker.labels == ("a", "r1-3")
+    assert not worker.draining
+    assert (report.sequence, report.clock_ms) == (4, 482_113)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"sequence": "4"},
+        {"capacity": None},
+        {"address": "somewhere"},
+        {"clock_ms": 1.5},
+        {"service": None},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_foreign_heartbeats_name_no_worker(change: dict[str, Any]) -> None:
+    """Guards against another writer's entry that is taken for a worker."""
+    with pytest.raises(InvalidMessageError):
+        decode_heartbeat("i-1", json.dumps(BEAT | change).encode())
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b'{"state":'])
+def test_unreadable_heartbeats_name_no_worker(body: bytes) -> None:
+    """Guards against bytes that end a process."""
+    with pytest.raises(InvalidMessageError):
+        decode_heartbeat("i-1", body)
+
+
+def test_job_fields() -> None:
+    """Guards against a limit of a step that is dropped on the way."""
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "requested_memory_mb": 256,
+        "gpus": 1,
+        "estimated_ms": 900,
+        "requirements": "b",
+        "data_rack": "r1-3",
+        "anti_affinity": 3,
+        "gang_scheduled": True,
+        "same_rack": True,
+        "speculative": True,
+        "checkpointing": True,
+        "image": "x",
+        "target_ms": 18,
+        "fills": True,
+        "may_miss": 1,
+    }
+    body = {
+        "task_spec": "text",
+        "steps": [step, {"count": 1, "after": [0], "long_running": True}],
+        "repetitions": 3,
+        "first_run_ms": 5,
+        "interval_ms": 7,
+    }
+    spec = decode_job(json.dumps(body).encode())
+    first, second = spec.steps
+    assert first.required_label == "b"
+    assert first.tasks_per_worker_max == 3
+    assert first.uses_leftover_processors
+    assert first.tail_latency_target_ms == 18
+    assert first.unavailable_max == 1
+    assert (first.gang, first.same_rack, first.speculative) == (True,) * 3
+    assert (first.data_rack, first.image) == ("r1-3", "x")
+    assert second.after == (0,)
+    assert second.long_running
+    assert (spec.repetitions, spec.first_due_unix_ms) == (3, 5)
+    assert spec.interval_ms == 7
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"task_spec":1,"steps":[]}'])
+def test_unreadable_jobs_are_refused(body: bytes) -> None:
+    """Guards against bad input that ends a process."""
+    with pytest.raises(InvalidJobError):
+        decode_job(body)
+
+
+ROUTE = {
+    "name": "r",
+    "host": "Nony24.example",
+    "path_prefix": "/a/",
+    "kind": "unsafe",
+    "timeout_ms": 3_000,
+    "target_latency_ms": 250,
+    "priority": 2,
+    "service": "s",
+    "max_attempts": 3,
+    "stretch": 1.5,
+}
+
+
+def manifest_body(**change: Any) -> bytes:
+    body = {
+        "version": 7,
+        "routes": [ROUTE | change],
+        "services": [{"name": "s", "spare": False}],
+        "limits": {},
+    }
+    return json.dumps(body).encode()
+
+
+def test_manifest_fields_and_bytes() -> None:
+    """Guards against a manifest that is read back with other bytes."""
+    body = manifest_body()
+    manifest = decode_manifest(body)
+    (queue,) = manifest.queues
+    assert (queue.host, queue.prefix) == ("nony24.example", "/a/")
+    assert (queue.pool, queue.failures_max) == ("s", 3)
+    assert (queue.latency_objective_ms, queue.stretch) == (250, 1.5)
+    assert manifest.source == body
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        manifest_body(timeout_ms=0),
+        manifest_body(service=None),
+        manifest_body()[:-9],
+        b"",
+    ],
+    ids=["no-timeout", "no-pool", "cut-short", "empty"],
+)
+def test_invalid_manifests_are_refused(body: bytes) -> None:
+    """Guards against an acknowledged manifest that can't be read."""
+    with pytest.raises(InvalidManifestError):
+        decode_manifest(body)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, b'{"clock_ms":5}', OrderDone(5)),
+        (409, b'{"reason":"fence"}', OrderRefused(Refusal.FENCED)),
+        (409, b'{"reason":"old"}', OrderRefused(Refusal.OLD)),
+        (409, b'{"reason":"late"}', OrderRefused(Refusal.LATE)),
+        (409, b'{"reason":"room"}', OrderRefused(Refusal.NO_ROOM)),
+        (409, b'{"reason":"ticket"}', OrderRefused(Refusal.TICKET)),
+        (409, b'{"reason":"new"}', OrderRefused(Refusal.INVALID)),
+        (400, b"", OrderRefused(Refusal.INVALID)),
+        (429, b"", OrderRefused(Refusal.UNHEALTHY)),
+        (503, b"", OrderRefused(Refusal.UNHEALTHY)),
+        (421, b"", OtherWorker()),
+    ],
+)
+def test_every_answer_of_a_worker(
+    status: int, body: bytes, expected: object
+) -> None:
+    """Guards against a refusal that is taken for an unknown outcome."""
+    assert meaning_of(HttpAnswer(status, (), body)) == expected
+
+
+def test_lists_of_a_worker() -> None:
+    """Guards against a run that is lost between the wire and the plan."""
+    body = {
+        "clock_ms": 9,
+        "born": 17,
+        "running": [["j.0.0.1", 2, "c", 41, 850]],
+        "ended": [
+            [58, "j.0.0.9", 1, "done", ""],
+            [59, "j.0.0.8", 3, "lapsed", "d"],
+        ],
+    }
+    hold = decode_hold(json.dumps(body).encode())
+    assert hold.life == 17
+    assert hold.running[0].load == 850
+    assert [row.outcome for row in hold.ended] == ["done", "lost"]
+    assert hold.ended[1].checkpoint == "d"
+
+
+def test_orders_on_the_wire() -> None:
+    """Guards against an order without its fence or lease."""
+    start = StartRun("j.0.0.1", 2, "text", 4_000, 7, "c")
+    path, body = encode_order(start)
+    assert path == "/api/run-start"
+    assert json.loads(body) == {
+        "task": "j.0.0.1",
+        "run": 2,
+        "task_spec": "text",
+        "expires_ms": 4_000,
+        "fencing_token": 7,
+        "checkpoint": "c",
+    }
+    assert encode_order(StopRun("j.0.0.1", 2, 7))[0] == "/api/run-stop"
+    assert (
+        json.loads(encode_order(PaceRun("j.0.0.1", 2, 40, 7))[1])["percent"]
+        == 40
+    )
+    hold = json.loads(encode_hold(HoldWorker(7, 57, 500))[1])
+    assert hold == {"fencing_token": 7, "ack_cursor": 57, "wait_ms": 500}
--- a/testing/replication/test_membership.py
+++ b/testing/replication/test_membership.py
@@ -6,6 +6,7 @@
 from sardinespool.replication.configuration import Learner
 from sardinespool.replication.membership import next_change
 from sardinespool.replication.membership import with_learner
+from sardinespool.replication.membership import without_dead_voter
 
 THREE = ("a#1", "b#1", "c#1")
 TWO = ("a#1", "b#1")
@@ -94,3 +95,30 @@
     assert (
         with_learner(before, "a#1", identity, 7, set(silent.split())) == after
     )
+
+
+@pytest.mark.parametrize(
+    ("voters", "responsive", "dead", "after"),
+    [
+        # A successor votes already: the silent voter goes.
+        ("a b c d", "a b d", "c", "a b d"),
+        # Without a successor, three are kept to bear a further loss.
+        ("a b c", "a b", "c", None),
+        # Nobody is dead.
+        ("a b c d", "a b c d", "", None),
+        # The others that respond are no majority.
+        ("a b c d e f", "a b c", "d e f", None),
+        # One at a time.
+        ("a b c d e", "a b c", "d e", "a b c e"),
+    ],
+)
+def test_dead_voter_is_removed(
+    voters: str, responsive: str, dead: str, after: str | None
+) -> None:
+    """Guards against a lost machine that counts as a voter for ever."""
+    change = without_dead_voter(
+        group(tuple(voters.split())),
+        set(responsive.split()),
+        set(dead.split()),
+    )
+    assert (change and change.voters) == (after and tuple(after.split()))
--- /dev/null
+++ b/testing/workflows/test_manifest.py
@@ -0,0 +1,92 @@
+"""Manifest versions and the queues that they select."""
+
+import dataclasses
+
+import msgspec
+import pytest
+
+from sardinespool.errors.configuration import InvalidManifestError
+from sardinespool.errors.tasks import QueueNotFoundError
+from sardinespool.messages.manifest import PoolSpec
+from sardinespool.messages.manifest import PublishManifest
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.workflows.manifest import check_manifest
+from sardinespool.workflows.manifest import ManifestState
+
+
+def queue(name: str, prefix: str, pool: str = "p") -> QueueSpec:
+    return QueueSpec(
+        name=name,
+        host="h",
+        prefix=prefix,
+        pool=pool,
+        priority=0,
+        failures_max=1,
+        stretch=1.0,
+        latency_objective_ms=1,
+    )
+
+
+def manifest(version: int, *queues: QueueSpec) -> PublishManifest:
+    return PublishManifest(
+        version=version,
+        queues=queues,
+        pools=(PoolSpec(name="p"),),
+        source=str(version).encode(),
+    )
+
+
+@dataclasses.dataclass
+class Case:
+    """A manifest that contradicts itself."""
+
+    queues: tuple[QueueSpec, ...]
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case((queue("a", "/x", pool="other"),)),
+        Case((queue("a", "/x"), queue("b", "/x"))),
+        Case((queue("a", "/x"), queue("a", "/y"))),
+    ],
+    ids=["unknown-pool", "same-place", "same-name"],
+)
+def test_contradicting_manifest_is_refused(case: Case) -> None:
+    """Guards against an invalid manifest that is put in force."""
+    with pytest.raises(InvalidManifestError):
+        check_manifest(manifest(1, *case.queues))
+
+
+@pytest.mark.parametrize("order", [(3, 7, 5), (7, 3, 5), (5, 3, 7), (7, 7, 3)])
+def test_highest_version_wins_in_any_order(order: tuple[int, ...]) -> None:
+    """Guards against an older version that replaces a newer one."""
+    state = ManifestState()
+    for version in order:
+        state.put(manifest(version, queue("a", f"/{version}/")))
+    assert state.version == 7
+    assert state.current is not None
+    assert state.current.source == b"7"
+    assert state.resolve("h", "/7/job") == (queue("a", "/7/"), "job")
+    with pytest.raises(QueueNotFoundError):
+        state.resolve("h", "/3/job")
+
+
+def test_other_content_of_the_version_held_changes_nothing() -> None:
+    """Guards against a version whose content changes."""
+    state = ManifestState()
+    assert state.put(manifest(4, queue("a", "/a/")))
+    changed = msgspec.structs.replace(manifest(4), source=b"other")
+    assert not state.put(changed)
+    assert state.current is not None
+    assert state.current.source == b"4"
+
+
+def test_longest_prefix_selects_the_queue() -> None:
+    """Guards against a job that lands in the queue of a shorter prefix."""
+    state = ManifestState()
+    state.put(manifest(1, queue("a", "/a/"), queue("b", "/a/b/")))
+    assert state.resolve("h", "/a/b/j")[0].name == "b"
+    assert state.resolve("h", "/a/j")[0].name == "a"
+    with pytest.raises(QueueNotFoundError):
+        state.resolve("other", "/a/j")
