--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -25,7 +25,7 @@
 SAME_JOB_BONUS = 0.3
 """The tasks of one job have their peaks of load at the same time."""
 SAME_IMAGE_BONUS = 0.5
-OTHER_IMAGE_PENALTY = 1.5
+OTHER_IMAGE_PENALTY = 0.8
 """Serving images are kept apart, so that each filling image finds workers
 whose serving images it does not press on."""
 HOSTILE_BONUS = 0.5
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -32,7 +32,7 @@
 MARGIN_MAX = 0.14
 """Distance that a level keeps from its limit while the load may rise; it
 rises by up to 0.13 a second."""
-MARGIN_MIN = 0.05
+MARGIN_MIN = 0.09
 """Distance that a level keeps at the peak of its load."""
 PEAK_RISE = 0.2
 PEAK_FALL = 0.003
