Write structured logs and serve metrics on the platform

Cause: on-call engineers have only logs and metrics, and the platform's processes wrote plain lines to standard error and served no metrics. Change: JSON lines on standard output from a bounded queue and a thread, with a cap for each event and a count of what was left out; a line for each assignment, end of a run and end of a job; counters and histograms of callers, jobs, runs and orders at port 9464.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -140,8 +140,15 @@
                 self._dispatcher.stop_job(status.job_id, "job cancelled")
             case WorkerLeaves(worker_id=worker_id), _:
                 self._dispatcher.worker_left(worker_id)
-            case SubmitWorkflow(), WorkflowStatus() as status:
-                _LOG.info("job accepted", job=status.job_id)
+            case SubmitWorkflow() as request, WorkflowStatus() as status:
+                _LOG.info(
+                    "job accepted",
+                    job=status.job_id,
+                    path=request.path,
+                    steps=len(request.spec.steps),
+                    manifest_version=self._machine.manifest.version,
+                    term=self._status().term,
+                )
                 self._dispatcher.job_accepted()
             case PublishManifest(version=version), Accepted():
                 _LOG.info("manifest in force", version=version)
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 from sardinespool.clock import Instant
 from sardinespool.dispatch.answers import AnswerHandler
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.orders import HoldAnswer
 from sardinespool.dispatch.orders import HoldWorker
 from sardinespool.dispatch.orders import Order
@@ -43,6 +44,8 @@
         Timing and limits.
     wake : callable
         Called with the id of a worker for which an order or a hold is due.
+    metrics : DispatchMetrics
+        Counts jobs, runs and orders.
 
     Attributes
     ----------
@@ -57,8 +60,10 @@
         machine: ControlMachine,
         settings: DispatchSettings,
         wake: Callable[[str], None],
+        metrics: DispatchMetrics,
     ) -> None:
         self._machine = machine
+        self._metrics = metrics
         self._settings = settings
         self._wake = wake
         self.fleet = Fleet(machine, settings, self.end_run)
@@ -162,15 +167,17 @@
             RunEnd(run.task_key, run.run, outcome, run.checkpoint)
         )
         self._ended_runs.append((worker, run))
-        if outcome != "done":
-            _LOG.info(
-                "run ended",
-                task=run.task_key,
-                run=run.run,
-                worker=worker.worker_id,
-                outcome=outcome,
-                reason=reason,
-            )
+        self._metrics.runs.inc(outcome=outcome)
+        _LOG.info(
+            "run ended",
+            task=run.task_key,
+            run=run.run,
+            worker=worker.worker_id,
+            outcome=outcome,
+            reason=reason,
+            percent=run.percent,
+            pace=run.pace,
+        )
 
     def note_listed_ends(self, worker: WorkerState) -> None:
         """Keep the worker's next hold until the listed ends are committed."""
@@ -254,6 +261,9 @@
         if run is None or worker.description.life != life:
             return
         run.in_flight = False
+        self._metrics.orders.inc(
+            kind=type(order).__name__, answer=type(answer).__name__
+        )
         self._answers.order_answered(worker, run, order, answer, now)
         if run.needs_order:
             worker.pending[run.key] = run
@@ -305,6 +315,7 @@
             return
         self._proposed = None
         self._planner.look_again()
+        self._metrics.ready_steps.set(len(self._machine.table.ready))
         for worker, run in self._ended_in_commit:
             worker.remove_run(run)
         self._finish_listed()
@@ -314,6 +325,18 @@
                 continue
             run.committed = True
             run.ordered_boot_ms = now.boot_ms
+            _LOG.info(
+                "assigned",
+                task=run.task_key,
+                run=run.run,
+                worker=worker.worker_id,
+                life=worker.description.life,
+                token=self.fencing_token,
+                pace=run.pace_wanted,
+                free_millicores=worker.free_millicores,
+                leftover_millicores=worker.leftover_millicores,
+                report_age_ms=now.boot_ms - worker.last_answer_boot_ms,
+            )
             if run.task is not None:
                 run.checkpoint = run.task.checkpoint
             if (
@@ -325,16 +348,32 @@
             worker.pending[run.key] = run
             self._wake(worker.worker_id)
         self._planned = []
-        self._stop_after(command)
+        self._stop_after(command, now)
 
-    def _stop_after(self, command: RecordRuns) -> None:
+    def _stop_after(self, command: RecordRuns, now: Instant) -> None:
         """Stop the other runs of jobs and gangs that these ends concern."""
+        ended_jobs: set[str] = set()
         for end in command.ends:
             task = self._machine.table.task(end.task)
             if task is None:
                 continue
             workflow = task.step.workflow
-            if workflow.is_final:
+            if workflow.is_final and workflow.job_id not in ended_jobs:
+                ended_jobs.add(workflow.job_id)
+                age_ms = now.unix_ms - workflow.accepted_unix_ms
+                self._metrics.jobs.inc(
+                    queue=workflow.queue.name, state=workflow.state
+                )
+                self._metrics.completion_ms.observe(age_ms)
+                _LOG.info(
+                    "job ended",
+                    job=workflow.job_id,
+                    queue=workflow.queue.name,
+                    state=workflow.state,
+                    age_ms=age_ms,
+                    last_task=end.task,
+                    failures=task.failures,
+                )
                 self.stop_job(workflow.job_id, f"job {workflow.state}")
             elif task.step.spec.gang and end.outcome != "done":
                 for worker in self.fleet.workers.values():
--- a/src/sardinespool/observability/logs.py
+++ b/src/sardinespool/observability/logs.py
@@ -1,15 +1,19 @@
 """Log lines: a fixed prefix for each part, one event a line.
 
-A line reads ``store: became leader group=centro term=4``.
+A line reads ``store: became leader group=centro term=4``, or is a JSON
+object on standard output after `use_json_lines`.
 """
 
 import json
 import re
+import sys
 from typing import Any
 
 from absl import flags
 from absl import logging
 
+from sardinespool.observability.json_lines import JsonLines
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -20,6 +24,16 @@
 _CONTROL = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029]")
 
 
+_json_lines: JsonLines | None = None
+
+
+def use_json_lines(process: str) -> JsonLines:
+    """Write all lines as JSON objects to standard output from now on."""
+    global _json_lines
+    _json_lines = JsonLines(sys.stdout.fileno(), process)
+    return _json_lines
+
+
 def configure_logs(level: str = "info") -> None:
     """Write lines of `level` and above to standard error.
 
@@ -61,23 +75,33 @@
     @logging.skip_log_prefix
     def debug(self, text: str, /, **ids: Any) -> None:
         """Log what only helps to follow a fault step by step."""
-        if logging.level_debug():
+        if _json_lines is not None:
+            return
+        elif logging.level_debug():
             logging.debug("%s", format_event(self._prefix, text, ids))
 
     @logging.skip_log_prefix
     def info(self, text: str, /, **ids: Any) -> None:
         """Log a planned change of state."""
-        if logging.level_info():
+        if _json_lines is not None:
+            _json_lines.emit("info", self._prefix, text, ids)
+        elif logging.level_info():
             logging.info("%s", format_event(self._prefix, text, ids))
 
     @logging.skip_log_prefix
     def warning(self, text: str, /, **ids: Any) -> None:
         """Log a fault that the process handles."""
+        if _json_lines is not None:
+            _json_lines.emit("warning", self._prefix, text, ids)
+            return
         logging.warning("%s", format_event(self._prefix, text, ids))
 
     @logging.skip_log_prefix
     def error(self, text: str, /, **ids: Any) -> None:
         """Log a fault that needs a person."""
+        if _json_lines is not None:
+            _json_lines.emit("error", self._prefix, text, ids)
+            return
         logging.error("%s", format_event(self._prefix, text, ids))
 
 
--- a/src/sardinespool/platform/callers.py
+++ b/src/sardinespool/platform/callers.py
@@ -14,9 +14,11 @@
 from sardinespool.messages.workflows import WaitingCount
 from sardinespool.messages.workflows import WorkflowStatus
 from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
 from sardinespool.platform.answers import error_answer
 from sardinespool.platform.answers import json_answer
 from sardinespool.platform.wire_jobs import decode_job
+from sardinespool.transport import system_clock
 from sardinespool.transport.http_messages import HttpAnswer
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_server import ReceivedRequest
@@ -34,14 +36,44 @@
 """Calls the control group within a number of milliseconds."""
 
 
+class CallerMetrics:
+    """Metrics of the callers' requests at a front."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.requests = metrics.counter(
+            "caller_requests_total", "Callers' requests, by method and status."
+        )
+        self.latency_ms = metrics.histogram(
+            "caller_latency_ms", "Time from a caller's request to its answer."
+        )
+
+
 class CallerHandler:
-    """Decodes callers' requests and encodes the group's replies."""
+    """Decodes callers' requests and encodes the group's replies.
 
-    def __init__(self, call: CallGroup) -> None:
+    Parameters
+    ----------
+    call : callable
+        Calls the control group within a number of milliseconds.
+    metrics : CallerMetrics
+        Counts requests.
+    """
+
+    def __init__(self, call: CallGroup, metrics: CallerMetrics) -> None:
         self._call = call
+        self._metrics = metrics
 
     async def __call__(self, received: ReceivedRequest) -> HttpAnswer:
         """Answer one request."""
+        started = system_clock.now()
+        answer = await self._answer(received)
+        elapsed_ms = system_clock.now().boot_ms - started.boot_ms
+        method = received.request.method
+        self._metrics.requests.inc(method=method, status=str(answer.status))
+        self._metrics.latency_ms.observe(elapsed_ms, method=method)
+        return answer
+
+    async def _answer(self, received: ReceivedRequest) -> HttpAnswer:
         request = received.request
         if received.too_large:
             return json_answer(413, {"error": "body-too-large"})
@@ -58,6 +90,8 @@
                 path=request.target,
                 code=error.code,
                 status=answer.status,
+                wait_ms=_wait_ms(request),
+                **error.details,
             )
             return answer
         return _encode(reply)
--- a/src/sardinespool/platform/core.py
+++ b/src/sardinespool/platform/core.py
@@ -6,6 +6,7 @@
 from sardinespool.errors.settings import SettingsError
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
+from sardinespool.observability.status_server import StatusServer
 from sardinespool.platform.control import ControlHandler
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.platform.worker_client import WorkerClient
@@ -43,6 +44,7 @@
         if settings.data_folder is None:
             raise SettingsError("A core machine needs a data folder.")
         self._settings = settings
+        self._metrics = Metrics("controller", settings.node)
         self._controller = ControllerProcess(
             ControllerSettings(
                 address=settings.internal_address,
@@ -53,7 +55,7 @@
                 cluster_token=CONTROL_GROUP,
             ),
             WorkerClient(HttpConnections()),
-            Metrics("controller", settings.node),
+            self._metrics,
         )
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -63,8 +65,16 @@
             ControlHandler(self._controller.call, self._heartbeat_address),
             ServerLimits(BODY_LIMIT_BYTES),
         )
+        status = StatusServer(
+            self._settings.status_address,
+            self._metrics,
+            health=lambda: True,
+            ready=lambda: bool(self._controller.leader),
+            dump=self._controller.describe,
+        )
         self._controller.start()
         control.start()
+        status.start()
         _LOG.info(
             "started",
             node=self._settings.node,
@@ -85,6 +95,7 @@
         await control.linger(LINGER_S)
         await control.stop()
         await self._controller.stop()
+        await status.stop()
         _LOG.info("stopped", node=self._settings.node)
 
     def _heartbeat_address(self) -> str:
--- a/src/sardinespool/platform/front.py
+++ b/src/sardinespool/platform/front.py
@@ -8,8 +8,11 @@
 from sardinespool.messages.manifest import MemberList
 from sardinespool.messages.manifest import ReadMembers
 from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
+from sardinespool.observability.status_server import StatusServer
 from sardinespool.platform.answers import json_answer
 from sardinespool.platform.callers import CallerHandler
+from sardinespool.platform.callers import CallerMetrics
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.programs.controller.controller_process import cluster_of
 from sardinespool.programs.controller.settings import CONTROL_GROUP
@@ -46,6 +49,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
+        self._metrics = Metrics("front", settings.node)
         self._connector = Connector(
             cluster_of(CONTROL_GROUP), "front", settings.node
         )
@@ -62,13 +66,23 @@
         """Serve until `stopping` is set, then end gracefully."""
         limits = ServerLimits(BODY_LIMIT_BYTES)
         callers = HttpListener(
-            self._settings.listen.callers, CallerHandler(self._call), limits
+            self._settings.listen.callers,
+            CallerHandler(self._call, CallerMetrics(self._metrics)),
+            limits,
+        )
+        status = StatusServer(
+            self._settings.status_address,
+            self._metrics,
+            health=lambda: True,
+            ready=lambda: self._ready,
+            dump=lambda: {"leader": self._client.leader},
         )
         readiness = HttpListener(
             self._settings.listen.readiness, self._readiness, limits
         )
         callers.start()
         readiness.start()
+        status.start()
         probing = asyncio.create_task(self._probe())
         _LOG.info("started", node=self._settings.node)
         waiting = asyncio.create_task(stopping.wait())
@@ -86,6 +100,7 @@
         await callers.stop()
         probing.cancel()
         await readiness.stop()
+        await status.stop()
         await self._connector.close()
         _LOG.info("stopped", node=self._settings.node)
 
@@ -118,11 +133,15 @@
                     ready = reply.manifest_version >= 0
             await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
 
-    async def _readiness(self, received: ReceivedRequest) -> HttpAnswer:
+    @property
+    def _ready(self) -> bool:
         now_boot_ms = system_clock.now().boot_ms
-        ready = (
+        return (
             not self._stopping
             and self._answered_boot_ms is not None
             and now_boot_ms - self._answered_boot_ms < READY_FOR_MS
         )
+
+    async def _readiness(self, received: ReceivedRequest) -> HttpAnswer:
+        ready = self._ready
         return json_answer(200 if ready else 503, {"ready": ready})
--- a/src/sardinespool/platform/main.py
+++ b/src/sardinespool/platform/main.py
@@ -8,8 +8,10 @@
 import sys
 
 from sardinespool.errors import SardinespoolError
+from sardinespool.observability.json_lines import JsonLines
 from sardinespool.observability.logs import configure_logs
 from sardinespool.observability.logs import get_logger
+from sardinespool.observability.logs import use_json_lines
 from sardinespool.platform.settings import load_platform_settings
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.platform.settings import SETTINGS_VARIABLE
@@ -29,9 +31,11 @@
     """Run the role that the command line names: ``front`` or ``core``."""
     role = sys.argv[1] if len(sys.argv) > 1 else ""
     configure_logs()
+    lines: JsonLines | None = None
     try:
         path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
         settings = load_platform_settings(path)
+        lines = use_json_lines(settings.node)
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD, 20, 50)
         asyncio.run(_run(role, settings))
@@ -41,6 +45,9 @@
     except OSError as error:
         _LOG.error("The operating system refused a call.", reason=error)
         sys.exit(EXIT_FAILED)
+    finally:
+        if lines is not None:
+            lines.close()
 
 
 async def _run(role: str, settings: PlatformSettings) -> None:
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -12,6 +12,9 @@
 SETTINGS_VARIABLE = "SARDINESPOOL_BOOT"
 """Environment variable with the path of the settings file."""
 
+STATUS_PORT = 9464
+"""The port that ``deploy/system.toml`` names for metrics."""
+
 
 class Listen(msgspec.Struct, frozen=True):
     """Addresses that others call, as ``ip:port``; "" if not served."""
@@ -56,6 +59,11 @@
         """Address for the other processes of the system."""
         return f"{self.ip}:{self.internal_ports[0]}"
 
+    @property
+    def status_address(self) -> str:
+        """Address of metrics, health and state dump."""
+        return f"{self.ip}:{STATUS_PORT}"
+
     @property
     def peers(self) -> tuple[str, ...]:
         """Internal addresses of the machines in `seeds`."""
--- a/src/sardinespool/programs/controller/controller_process.py
+++ b/src/sardinespool/programs/controller/controller_process.py
@@ -5,6 +5,7 @@
 
 from sardinespool.dispatch.control_service import ControlService
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.storage import CorruptLogError
 from sardinespool.errors.storage import StorageError
@@ -68,6 +69,7 @@
         self._settings = settings
         self._caller = caller
         self._store_metrics = StoreMetrics(metrics)
+        self._dispatch_metrics = DispatchMetrics(metrics)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         cluster = cluster_of(settings.cluster_token)
@@ -92,6 +94,10 @@
         """Address of the leader, or ""."""
         return name_of(self._runner.status.leader)
 
+    def describe(self) -> dict[str, object]:
+        """Return the state of the member, for the state dump."""
+        return {"replica": self._runner.status}
+
     @property
     def ended(self) -> asyncio.Task[None]:
         """Task of the group; it ends by itself only after a fault."""
@@ -153,7 +159,10 @@
         """Read the files of the group and make its parts from them."""
         self._machine = ControlMachine()
         self._dispatcher = Dispatcher(
-            self._machine, self._settings.dispatch, self._links.wake
+            self._machine,
+            self._settings.dispatch,
+            self._links.wake,
+            self._dispatch_metrics,
         )
         self._runner = GroupRunner(self._make_batches())
         self._runners[CONTROL_GROUP] = self._runner
--- a/testing/dispatch/world.py
+++ b/testing/dispatch/world.py
@@ -9,6 +9,7 @@
 from sardinespool.clock import Instant
 from sardinespool.dispatch.control_service import ControlService
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.orders import HoldAnswer
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import OrderAnswer
@@ -27,6 +28,7 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import SubmitWorkflow
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.observability.metrics import Metrics
 from sardinespool.replication.status import ReplicaStatus
 from sardinespool.replication.status import Role
 from testing.dispatch.oracle import Oracle
@@ -99,7 +101,10 @@
         """Let a new leader take over the committed state."""
         self.term += 1
         self.dispatcher = Dispatcher(
-            self.machine, self.settings, lambda worker_id: None
+            self.machine,
+            self.settings,
+            lambda worker_id: None,
+            DispatchMetrics(Metrics("controller", "a")),
         )
         self.service = ControlService(
             self.machine, self.dispatcher, self._status
