--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -4,6 +4,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.health import Health
 from sardinespool.dispatch.orders import EndedRow
 from sardinespool.dispatch.orders import HoldAnswer
 from sardinespool.dispatch.orders import HoldDone
@@ -28,14 +29,6 @@
 
 UNHEALTHY_PAUSE_MS = 1_500
 """Pause of starts on a worker that refused one as unhealthy or full."""
-FAILING_JOBS_MAX = 2
-"""Jobs that fail in a row on a worker until it is set aside.
-
-One job can fail everywhere; two different ones point to the worker.
-"""
-FAILING_PAUSE_MS = 3_000
-"""Pause after which a failing worker gets a task again."""
-
 _LOG = get_logger("dispatch")
 
 
@@ -73,6 +66,8 @@
         Timing.
     pacing : Pacing
         Adapts the pace of filling tasks.
+    health : Health
+        Judges workers by the ends of their runs.
     control : RunControl
         Takes ends and stops.
     """
@@ -82,9 +77,11 @@
         fleet: Fleet,
         settings: DispatchSettings,
         pacing: Pacing,
+        health: Health,
         control: RunControl,
     ) -> None:
         self._pacing = pacing
+        self._health = health
         self._fleet = fleet
         self._settings = settings
         self._control = control
@@ -286,6 +283,7 @@
         if new_ends:
             self._control.note_listed_ends(worker)
         self._pacing.adapt(worker, now)
+        self._health.check_progress(worker, now, self._control)
 
     def _take_running(
         self, worker: WorkerState, row: RunningRow, now: Instant
@@ -320,18 +318,4 @@
         if row.checkpoint:
             run.checkpoint = row.checkpoint
         self._control.end_run(worker, run, row.outcome, "reported")
-        self._judge(worker, row, now)
-
-    def _judge(self, worker: WorkerState, row: EndedRow, now: Instant) -> None:
-        """Set a worker aside on which different jobs fail in a row."""
-        if row.outcome == "done":
-            worker.failed_jobs.clear()
-        elif row.outcome == "failed":
-            worker.failed_jobs.add(row.task.partition(".")[0])
-            if len(worker.failed_jobs) >= FAILING_JOBS_MAX:
-                worker.avoid_until_boot_ms = now.boot_ms + FAILING_PAUSE_MS
-                _LOG.warning(
-                    "worker set aside",
-                    worker=worker.worker_id,
-                    failed_jobs=len(worker.failed_jobs),
-                )
+        self._health.run_ended(worker, run, row.outcome, now)
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 from sardinespool.clock import Instant
 from sardinespool.dispatch.answers import AnswerHandler
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.health import Health
 from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.orders import HoldAnswer
 from sardinespool.dispatch.orders import HoldWorker
@@ -68,10 +69,13 @@
         self._wake = wake
         self.fleet = Fleet(machine, settings, self.end_run)
         model = TailModel()
+        self._health = Health()
         self._answers = AnswerHandler(
-            self.fleet, settings, Pacing(model), self
+            self.fleet, settings, Pacing(model), self._health, self
+        )
+        self._planner = Planner(
+            machine, self.fleet, settings, model, self._health
         )
-        self._planner = Planner(machine, self.fleet, settings, model)
         self.fencing_token = 0
         self.fenced = False
         self._proposed: RecordRuns | None = None
@@ -433,3 +437,4 @@
         self._listed_in_commit = []
         self._planned = []
         self._planner.reset()
+        self._health.reset()
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -39,6 +39,8 @@
 """
 HARMLESS_PRESS = 0.01
 """What a task may add to a level unheeded."""
+SHUNNED_PENALTY = 10.0
+"""Above all other terms: where a task failed is the last choice."""
 REMOTE_PENALTY = 1.0
 """Share of a worker by which tasks avoid racks without their data."""
 
@@ -72,7 +74,7 @@
         self._rooms: dict[str, Rooms] = {}
 
     def workers_for(
-        self, step: StepRecord, starved: bool
+        self, step: StepRecord, starved: bool, shunned: set[str]
     ) -> Iterator[tuple[WorkerState, int]]:
         """Yield a worker and a pace for one task of a step after the other.
 
@@ -85,11 +87,13 @@
             A ready step.
         starved : bool
             Its filling tasks may start at the least pace anywhere.
+        shunned : set of str
+            Workers on which tasks of the step failed; the last choice.
         """
         spec = step.spec
         heap: list[tuple[float, int, WorkerState, int]] = []
         for position, worker in enumerate(self._workers):
-            suit = self._suit(step, worker, starved)
+            suit = self._suit(step, worker, starved, shunned)
             if suit is not None:
                 heap.append((-suit[0], position, worker, suit[1]))
         heapq.heapify(heap)
@@ -102,7 +106,7 @@
             yield worker, pace
             if spec.uses_leftover_processors or spec.tail_latency_target_ms:
                 self._rooms.pop(worker.worker_id, None)
-            suit = self._suit(step, worker, starved)
+            suit = self._suit(step, worker, starved, shunned)
             if suit is not None:
                 heapq.heappush(heap, (-suit[0], position, worker, suit[1]))
 
@@ -121,11 +125,17 @@
         return places
 
     def _suit(
-        self, step: StepRecord, worker: WorkerState, starved: bool
+        self,
+        step: StepRecord,
+        worker: WorkerState,
+        starved: bool,
+        shunned: set[str],
     ) -> tuple[float, int] | None:
         """Return score and pace of the next task on a worker, None if not."""
         spec = step.spec
-        if not worker.fits(spec):
+        if not worker.fits(spec) or (
+            worker.on_trial and has_short_run(worker)
+        ):
             return None
         labels = worker.description.labels
         if spec.required_label and spec.required_label not in labels:
@@ -146,6 +156,8 @@
             return None
         if spec.data_rack and spec.data_rack not in labels:
             score -= REMOTE_PENALTY
+        if worker.worker_id in shunned:
+            score -= SHUNNED_PENALTY
         return score, pace
 
     def _fill(
@@ -221,6 +233,14 @@
     return sum(run.step is step for run in worker.runs.values())
 
 
+def has_short_run(worker: WorkerState) -> bool:
+    """Return whether a run that is going to end is on a worker."""
+    return any(
+        run.step is not None and not run.step.spec.long_running
+        for run in worker.runs.values()
+    )
+
+
 def _serving_score(step: StepRecord, worker: WorkerState, whole: int) -> float:
     spec = step.spec
     # The fullest worker first, so that less room is left in pieces.
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -1,10 +1,11 @@
 """Which ready tasks start now, and where."""
 
 from collections.abc import Iterable
-from typing import Protocol
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.health import Health
+from sardinespool.dispatch.health import StopRuns
 from sardinespool.dispatch.placing import Placing
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
@@ -42,15 +43,6 @@
 Planned = list[tuple[WorkerState, RunState]]
 
 
-class StopRuns(Protocol):
-    """What the planner asks of the dispatcher."""
-
-    def stop_run(
-        self, worker: WorkerState, run: RunState, reason: str
-    ) -> None:
-        """Stop a run."""
-
-
 class Planner:
     """Orders ready steps and assigns their tasks.
 
@@ -64,6 +56,8 @@
         Timing.
     model : TailModel
         Press of filling images on serving ones.
+    health : Health
+        Knows the workers on which tasks failed.
     """
 
     def __init__(
@@ -72,7 +66,9 @@
         fleet: Fleet,
         settings: DispatchSettings,
         model: TailModel,
+        health: Health,
     ) -> None:
+        self._health = health
         self._model = model
         self._machine = machine
         self._fleet = fleet
@@ -248,7 +244,11 @@
     ) -> Planned:
         planned: Planned = []
         gang_run = max((task.run for task in step.tasks), default=0) + 1
-        workers = placing.workers_for(step, self._is_starved(step, now))
+        workers = placing.workers_for(
+            step,
+            self._is_starved(step, now),
+            self._health.shunned(step.key),
+        )
         for index in sorted(step.waiting):
             place = next(workers, None)
             if place is None:
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -159,3 +159,11 @@
         if world.machine.table.workflows[name].state == "failed"
     ]
     assert failed == []
+
+
+def test_tasks_leave_a_worker_on_which_they_stand_still() -> None:
+    """Guards against jobs that wait for ever for a stuck worker."""
+    world = World(4)
+    world.workers["w1"].hanging = True
+    names = submit_jobs(world, 4)
+    settle(world, names)
--- a/testing/dispatch/worker_standin.py
+++ b/testing/dispatch/worker_standin.py
@@ -26,6 +26,7 @@
 
 LONGEST_LEASE_MS = 6_000
 STOP_MS = 300
+NEVER_MS = 10**9
 
 
 @dataclasses.dataclass
@@ -48,8 +49,8 @@
         Judges each start and end.
     seed : int
         Seed of run times and failures.
-    failing : bool
-        Whether everything that starts here fails.
+    failing, hanging : bool
+        Whether everything that starts here fails, or stands still.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
     ) -> None:
         self.worker_id = worker_id
         self.failing = failing
+        self.hanging = False
         self.up = True
         self.reachable = True
         self._oracle = oracle
@@ -182,6 +184,8 @@
         if self.failing or self._random.random() < 0.05:
             outcome = "failed"
         duration_ms = self._random.randint(100, 1_500)
+        if self.hanging:
+            duration_ms = NEVER_MS
         self.running[order.task] = Running(
             order.run, now_ms + duration_ms, outcome
         )
