--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -235,7 +235,8 @@
                 # asked for from now on tells which.
                 run.phase = RunPhase.RUNNING
             case StartRun():
-                if reason in (Refusal.UNHEALTHY, Refusal.NO_ROOM):
+                if reason is not Refusal.LATE:
+                    # Without a pause the next pass would try the same.
                     worker.avoid_until_boot_ms = (
                         now.boot_ms + UNHEALTHY_PAUSE_MS
                     )
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -114,7 +114,7 @@
                 )
                 return Proposal(request)
             case ReportWorker():
-                if self._dispatcher.fleet.needs_record(request, now):
+                if self._dispatcher.worker_reports(request, now):
                     return Proposal(PutWorker(description=request.description))
                 return Answer(Accepted())
             case WorkerLeaves(worker_id=worker_id):
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -24,6 +24,7 @@
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.fleet import ReportWorker
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.workflows import RecordRuns
 from sardinespool.messages.workflows import RunEnd
@@ -106,6 +107,15 @@
         self.fencing_token = 0
         self.fleet.workers.clear()
 
+    def worker_reports(self, report: ReportWorker, now: Instant) -> bool:
+        """Take a heartbeat; return whether the log must hold it."""
+        needs_record = self.fleet.needs_record(report, now)
+        worker_id = report.description.worker_id
+        worker = self.fleet.workers.get(worker_id)
+        if worker is not None and not worker.answered:
+            self._wake(worker_id)
+        return needs_record
+
     def worker_recorded(
         self, description: WorkerDescription, now: Instant
     ) -> None:
@@ -200,6 +210,13 @@
             and worker.acknowledged_end >= worker.listed_end
         ):
             return None
+        if (
+            not worker.answered
+            and not worker.runs
+            and not self.fleet.heard_recently(worker, now)
+        ):
+            # The next heartbeat wakes its tasks.
+            return None
         return HoldWorker(
             fencing_token=self.fencing_token,
             acknowledged_end=worker.acknowledged_end,
@@ -425,7 +442,6 @@
             lease_end_ms=lease_end_ms,
             fencing_token=self.fencing_token,
             checkpoint=run.task.checkpoint,
-            ticket=run.ticket,
         )
 
     def _reset(self) -> None:
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -60,6 +60,7 @@
             self.workers[description.worker_id] = WorkerState(
                 description, self._settings, blind_boot_ms
             )
+            self.heard_boot_ms[description.worker_id] = now.boot_ms
         for worker_id, tasks in self._machine.table.assigned.items():
             worker = self.workers.get(worker_id)
             for task in tasks.values():
@@ -197,9 +198,13 @@
             and description.failure_domain not in self._machine.evacuated
             and description.pool not in self._machine.manifest.spare_pools
             and now.boot_ms >= worker.avoid_until_boot_ms
-            and now.boot_ms - self._last_heard(worker) < HEARD_WITHIN_MS
+            and self.heard_recently(worker, now)
         )
 
+    def heard_recently(self, worker: WorkerState, now: Instant) -> bool:
+        """Return whether a worker gave a sign of life lately."""
+        return now.boot_ms - self._last_heard(worker) < HEARD_WITHIN_MS
+
     def reserved_share(self) -> float:
         """Return the share of all processors that is reserved."""
         whole = free = 0
--- a/src/sardinespool/dispatch/orders.py
+++ b/src/sardinespool/dispatch/orders.py
@@ -20,7 +20,6 @@
     lease_end_ms: int
     fencing_token: int
     checkpoint: str = ""
-    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -22,8 +22,10 @@
 """Percent at which a task that waited for long starts where it presses."""
 LEVEL_PENALTY = 1.0
 """Share of a worker that a unit of added level costs."""
-SAME_JOB_BONUS = 0.3
-"""The tasks of one job have their peaks of load at the same time."""
+SAME_JOB_BONUS = 0.6
+OTHER_JOB_PENALTY = 0.15
+"""The tasks of one job have their peaks of load at the same time, those of
+different jobs leave the room of the least for what fills beside them."""
 SAME_IMAGE_BONUS = 0.5
 OTHER_IMAGE_PENALTY = 0.8
 """Serving images are kept apart, so that each filling image finds workers
@@ -250,6 +252,11 @@
             score += SAME_IMAGE_BONUS
         else:
             score -= OTHER_IMAGE_PENALTY
-    if tasks_of_step(worker, step):
-        score += SAME_JOB_BONUS
-    return score
+    jobs = {
+        run.step.workflow.job_id
+        for run in worker.runs.values()
+        if run.step is not None and run.step.spec.tail_latency_target_ms
+    }
+    if step.workflow.job_id in jobs:
+        return score + SAME_JOB_BONUS
+    return score - OTHER_JOB_PENALTY * len(jobs)
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -74,7 +74,6 @@
         "stop_wanted",
         "task",
         "task_key",
-        "ticket",
         "unanswered",
     )
 
@@ -109,7 +108,6 @@
         self.serving_load: float | None = None
         self.pace = FULL_PACE
         self.pace_wanted = FULL_PACE
-        self.ticket = ""
 
     @property
     def step(self) -> StepRecord | None:
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -30,12 +30,8 @@
         Added to the end of a lease before its runs count as ended.
     late_order_ms : int
         Longest time after which a worker may carry an unanswered order out.
-    stop_limit_ms : int
-        Longest time that a worker takes for a stop.
     finished_job_retention_ms : int
         Time for which the state of an ended job is kept.
-    absent_worker_retention_ms : int
-        Silence after which a worker is removed from the log.
     """
 
     lease_ms: int = 4_000
@@ -46,6 +42,4 @@
     clock_rate_min: float = 0.98
     lease_margin_ms: int = 100
     late_order_ms: int = 12_000
-    stop_limit_ms: int = 900
     finished_job_retention_ms: int = 120_000
-    absent_worker_retention_ms: int = 30_000
--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -59,9 +59,3 @@
     """No job of this id is stored."""
 
     http_status = 410
-
-
-class WaveNotFoundError(TaskError):
-    """No maintenance wave has this id."""
-
-    http_status = 404
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -14,7 +14,6 @@
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.manifest import SetEvacuation
-from sardinespool.messages.manifest import StartWave
 from sardinespool.messages.tasks import Accepted
 from sardinespool.messages.workflows import AcceptWorkflow
 from sardinespool.messages.workflows import EndWorkflow
@@ -31,7 +30,7 @@
 
 
 class ControlMachine:
-    """Manifest, jobs, workers, evacuations and waves.
+    """Manifest, jobs, workers and evacuations.
 
     Attributes
     ----------
@@ -41,8 +40,6 @@
         Failure domains whose workers get nothing more.
     workers : dict of str to WorkerDescription
         The newest known life of each worker.
-    waves : dict of int to StartWave
-        Maintenance waves that were asked for.
     """
 
     def __init__(self) -> None:
@@ -51,7 +48,6 @@
         self.table = WorkflowTable()
         self.evacuated: set[str] = set()
         self.workers: dict[str, WorkerDescription] = {}
-        self.waves: dict[int, StartWave] = {}
 
     def queue_of(self, workflow: WorkflowRecord) -> QueueSpec:
         """Return the queue of a job as the version in force has it."""
@@ -82,8 +78,6 @@
                     self.evacuated.add(domain)
                 else:
                     self.evacuated.discard(domain)
-            case StartWave() as body:
-                self.waves.setdefault(body.wave_id, body)
             case PutWorker(description=description):
                 self._put_worker(description)
             case DropWorker() as body:
@@ -109,7 +103,6 @@
                 manifest=self.manifest.current,
                 evacuated=tuple(sorted(self.evacuated)),
                 workers=tuple(self.workers.values()),
-                waves=tuple(self.waves.values()),
                 workflows=tuple(
                     image_of(item) for item in self.table.workflows.values()
                 ),
@@ -125,7 +118,6 @@
             self.manifest.put(image.manifest)
         self.evacuated = set(image.evacuated)
         self.workers = {item.worker_id: item for item in image.workers}
-        self.waves = {item.wave_id: item for item in image.waves}
         self.table = WorkflowTable()
         self.table.workflows = {
             item.job_id: workflow_of(item) for item in image.workflows
--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -37,10 +37,7 @@
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.manifest import ReadMembers
-from sardinespool.messages.manifest import ReadWave
 from sardinespool.messages.manifest import SetEvacuation
-from sardinespool.messages.manifest import StartWave
-from sardinespool.messages.manifest import WaveStatus
 from sardinespool.messages.requests import AbandonRequest
 from sardinespool.messages.requests import BeginReply
 from sardinespool.messages.requests import BeginRequest
@@ -103,8 +100,6 @@
     | PublishManifest
     | ReadManifest
     | SetEvacuation
-    | StartWave
-    | ReadWave
     | ReadMembers
     | ReportWorker
     | WorkerLeaves
@@ -133,7 +128,6 @@
     | WaitingCount
     | RunsRecorded
     | ManifestCopy
-    | WaveStatus
     | MemberList
 )
 
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -20,7 +20,6 @@
 from sardinespool.messages.jobs import SyncDomain
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import SetEvacuation
-from sardinespool.messages.manifest import StartWave
 from sardinespool.messages.requests import AbandonRequest
 from sardinespool.messages.requests import BeginRequest
 from sardinespool.messages.requests import FinishRequest
@@ -131,7 +130,6 @@
     | RecordRuns
     | PublishManifest
     | SetEvacuation
-    | StartWave
     | PutWorker
     | DropWorker
 )
--- a/src/sardinespool/messages/manifest.py
+++ b/src/sardinespool/messages/manifest.py
@@ -20,8 +20,6 @@
     stretch : float
         The completion objective of a job is this many times its longest
         chain of work, and `latency_objective_ms` more.
-    advice_validity_ms : int
-        0 if the queue needs no advice on workers.
     """
 
     name: str
@@ -32,8 +30,6 @@
     failures_max: int
     stretch: float
     latency_objective_ms: int
-    needs_advice: bool = False
-    advice_validity_ms: int = 0
 
 
 class PoolSpec(Record, frozen=True, kw_only=True):
@@ -73,30 +69,6 @@
     evacuated: bool
 
 
-class StartWave(Message, frozen=True, kw_only=True):
-    """Maintain each of these hosts until the deadline.
-
-    At most `concurrent_max` of them are down at a time.
-    """
-
-    wave_id: int
-    hosts: tuple[str, ...]
-    within_ms: int
-    concurrent_max: int
-
-
-class ReadWave(Message, frozen=True, kw_only=True):
-    """Read whether a wave is complete."""
-
-    wave_id: str
-
-
-class WaveStatus(Message, frozen=True, kw_only=True):
-    """Answer to `ReadWave`."""
-
-    completed: bool
-
-
 class ReadMembers(Message, frozen=True, kw_only=True):
     """Ask the leader who the members of the group are."""
 
--- a/src/sardinespool/platform/wire_operator.py
+++ b/src/sardinespool/platform/wire_operator.py
@@ -8,12 +8,6 @@
 from sardinespool.messages.manifest import QueueSpec
 
 
-class _Advice(msgspec.Struct, frozen=True):
-    decision_ms: float = 0
-    per_worker_ms: float = 0
-    validity_ms: int = 0
-
-
 class _Route(msgspec.Struct, frozen=True):
     name: str
     host: str
@@ -26,7 +20,6 @@
     # Failed runs of a task after which its job has failed.
     max_attempts: int = 1
     stretch: float = 1.0
-    advice: _Advice | None = None
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -83,6 +76,4 @@
         failures_max=route.max_attempts,
         stretch=route.stretch,
         latency_objective_ms=route.target_latency_ms,
-        needs_advice=route.advice is not None,
-        advice_validity_ms=route.advice.validity_ms if route.advice else 0,
     )
--- a/src/sardinespool/platform/wire_workers.py
+++ b/src/sardinespool/platform/wire_workers.py
@@ -142,8 +142,6 @@
             }
             if order.checkpoint:
                 body["checkpoint"] = order.checkpoint
-            if order.ticket:
-                body["ticket"] = order.ticket
             return "/api/run-start", _ENCODER.encode(body)
         case StopRun():
             return "/api/run-stop", _ENCODER.encode(
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -5,7 +5,6 @@
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
-from sardinespool.messages.manifest import StartWave
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.messages.workflows import WorkflowState
 from sardinespool.workflows.records import TaskState
@@ -44,7 +43,6 @@
     manifest: PublishManifest | None
     evacuated: tuple[str, ...]
     workers: tuple[WorkerDescription, ...]
-    waves: tuple[StartWave, ...]
     workflows: tuple[WorkflowImage, ...]
 
 
