Draw the load of a serving task towards its image's mean

A job that had ended was logged again at each later end of its runs. Change: half the distance to the mean counts; the table says which jobs a command ended, and only those are logged, counted and stopped.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -369,38 +369,40 @@
             worker.pending[run.key] = run
             self._wake(worker.worker_id)
         self._planned = []
-        self._stop_after(command, now)
+        self._stop_after(command, result, now)
 
-    def _stop_after(self, command: RecordRuns, now: Instant) -> None:
+    def _stop_after(
+        self, command: RecordRuns, result: RunsRecorded, now: Instant
+    ) -> None:
         """Stop the other runs of jobs and gangs that these ends concern."""
-        ended_jobs: set[str] = set()
+        table = self._machine.table
+        for job_id in result.ended_jobs:
+            workflow = table.workflows[job_id]
+            age_ms = now.unix_ms - workflow.accepted_unix_ms
+            self._metrics.jobs.inc(
+                queue=workflow.queue.name, state=workflow.state
+            )
+            self._metrics.completion_ms.observe(age_ms)
+            _LOG.info(
+                "job ended",
+                job=job_id,
+                queue=workflow.queue.name,
+                state=workflow.state,
+                age_ms=age_ms,
+            )
+            self.stop_job(job_id, f"job {workflow.state}")
         for end in command.ends:
-            task = self._machine.table.task(end.task)
-            if task is None:
+            task = table.task(end.task)
+            if (
+                task is None
+                or not task.step.spec.gang
+                or end.outcome == "done"
+            ):
                 continue
-            workflow = task.step.workflow
-            if workflow.is_final and workflow.job_id not in ended_jobs:
-                ended_jobs.add(workflow.job_id)
-                age_ms = now.unix_ms - workflow.accepted_unix_ms
-                self._metrics.jobs.inc(
-                    queue=workflow.queue.name, state=workflow.state
-                )
-                self._metrics.completion_ms.observe(age_ms)
-                _LOG.info(
-                    "job ended",
-                    job=workflow.job_id,
-                    queue=workflow.queue.name,
-                    state=workflow.state,
-                    age_ms=age_ms,
-                    last_task=end.task,
-                    failures=task.failures,
-                )
-                self.stop_job(workflow.job_id, f"job {workflow.state}")
-            elif task.step.spec.gang and end.outcome != "done":
-                for worker in self.fleet.workers.values():
-                    for run in list(worker.runs.values()):
-                        if run.step is task.step:
-                            self.stop_run(worker, run, "member of gang ended")
+            for worker in self.fleet.workers.values():
+                for run in list(worker.runs.values()):
+                    if run.step is task.step:
+                        self.stop_run(worker, run, "member of gang ended")
 
     def _finish_listed(self) -> None:
         for worker, number in self._listed_in_commit:
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 
 from sardinespool.dispatch.run_state import FULL_PACE
-from sardinespool.dispatch.tail_model import LOAD_PRIOR
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
@@ -196,12 +195,10 @@
                 if step is None or not step.spec.tail_latency_target_ms:
                     continue
                 image = step.spec.image
-                load = run.serving_load
+                load = self._model.expected_load(image, run.serving_load)
                 limit = self._model.level(
                     image, step.spec.tail_latency_target_ms
                 )
-                if load is None:
-                    load = LOAD_PRIOR
                 room = limit - load - self._model.margin(image, load)
                 least[image] = min(least.get(image, room), room)
             use = worker.declared_use()
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -34,6 +34,10 @@
 rises by up to 0.13 a second."""
 MARGIN_MIN = 0.09
 """Distance that a level keeps at the peak of its load."""
+OWN_WEIGHT = 0.5
+"""Weight of a task's own load against the mean of its image."""
+MEAN_STEP = 0.02
+"""Step of the mean load of an image for each report."""
 PEAK_RISE = 0.2
 PEAK_FALL = 0.003
 """Steps of the estimate of an image's peak load for each report."""
@@ -48,6 +52,7 @@
         )
         self._floor_ms: dict[str, float] = {}
         self._peak: dict[str, float] = {}
+        self._mean: dict[str, float] = {}
 
     def level(self, serving: str, tail_ms: float) -> float:
         """Return the level of a tail, from 0 at its floor to 1.
@@ -78,6 +83,17 @@
             self.press(serving, image) * share for image, share in use.items()
         )
 
+    def expected_load(self, serving: str, load: float | None) -> float:
+        """Return the load of a task, drawn towards the mean of its image.
+
+        The tails of one half second are few samples, and the highest of
+        several noisy loads would rule a worker.
+        """
+        mean = self._mean.get(serving, LOAD_PRIOR)
+        if load is None:
+            return mean
+        return mean + OWN_WEIGHT * (load - mean)
+
     def margin(self, serving: str, load: float) -> float:
         """Return the distance that a level must keep from its limit.
 
@@ -130,6 +146,8 @@
                 now_ms,
             )
         load += LOAD_STEP * (own - load)
+        mean = self._mean.get(serving, load)
+        self._mean[serving] = mean + MEAN_STEP * (load - mean)
         peak = self._peak.get(serving, load)
         step = PEAK_RISE if load > peak else PEAK_FALL
         self._peak[serving] = peak + step * (load - peak)
--- a/src/sardinespool/messages/workflows.py
+++ b/src/sardinespool/messages/workflows.py
@@ -172,6 +172,7 @@
 
 
 class RunsRecorded(Message, frozen=True, kw_only=True):
-    """Positions of the assignments that were refused."""
+    """Positions of refused assignments, and the jobs that these ends ended."""
 
     refused: tuple[int, ...] = ()
+    ended_jobs: tuple[str, ...] = ()
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -77,8 +77,11 @@
         its run number is new, so that a plan made on older state does no
         harm.
         """
+        ended_jobs: list[str] = []
         for end in body.ends:
-            self._record_end(end, now_unix_ms, failures_max)
+            job_id = self._record_end(end, now_unix_ms, failures_max)
+            if job_id:
+                ended_jobs.append(job_id)
         for job_id, occurrence in body.opened:
             workflow = self.workflows.get(job_id)
             if workflow is not None and not workflow.is_final:
@@ -90,7 +93,7 @@
         )
         for job_id in body.forgotten_jobs:
             self._forget(job_id)
-        return RunsRecorded(refused=refused)
+        return RunsRecorded(refused=refused, ended_jobs=tuple(ended_jobs))
 
     def open_occurrence(
         self, workflow: WorkflowRecord, occurrence: int
@@ -159,10 +162,11 @@
 
     def _record_end(
         self, end: RunEnd, now_unix_ms: int, failures_max: FailuresMax
-    ) -> None:
+    ) -> str:
+        """Record an end; return the id of the job if it has ended by it."""
         task = self.task(end.task)
         if task is None or task.state is TaskState.DONE or end.run > task.run:
-            return
+            return ""
         is_current = task.state is TaskState.ASSIGNED and end.run == task.run
         if end.checkpoint:
             task.checkpoint = end.checkpoint
@@ -178,7 +182,8 @@
             for member in step.tasks:
                 member.checkpoint = end.checkpoint
         workflow = step.workflow
-        if not workflow.is_final:
+        was_final = workflow.is_final
+        if not was_final:
             if step.remaining == 0:
                 self._after_step(step, now_unix_ms)
             elif (
@@ -188,6 +193,7 @@
             ):
                 self._end(workflow, "failed", now_unix_ms)
         self._refresh(step)
+        return workflow.job_id if workflow.is_final > was_final else ""
 
     def _failures(self, task: TaskRecord) -> int:
         """Return the attempts of the task, or of its gang."""
