Split the dispatcher and a group's sends

Change: OrderBook gives the next hold and order of a worker; the sends of a batch have a module of their own. No behaviour changes.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -7,13 +7,10 @@
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import Health
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.order_book import OrderBook
 from sardinespool.dispatch.orders import HoldAnswer
-from sardinespool.dispatch.orders import HoldWorker
 from sardinespool.dispatch.orders import Order
 from sardinespool.dispatch.orders import OrderAnswer
-from sardinespool.dispatch.orders import PaceRun
-from sardinespool.dispatch.orders import StartRun
-from sardinespool.dispatch.orders import StopRun
 from sardinespool.dispatch.pacing import Pacing
 from sardinespool.dispatch.planner import Planned
 from sardinespool.dispatch.planner import Planner
@@ -51,8 +48,8 @@
 
     Attributes
     ----------
-    fencing_token : int
-        Term of the leadership; 0 while this member does not lead.
+    orders : OrderBook
+        Next hold and next order for each worker.
     fenced : bool
         A worker has seen a higher token.
     """
@@ -77,7 +74,7 @@
         self._planner = Planner(
             machine, self.fleet, settings, model, self._health
         )
-        self.fencing_token = 0
+        self.orders = OrderBook(self.fleet, settings)
         self.fenced = False
         self._proposed: RecordRuns | None = None
         self._ends: list[RunEnd] = []
@@ -95,7 +92,7 @@
     def begin(self, fencing_token: int, now: Instant) -> None:
         """Start to lead with a token above all earlier ones."""
         self._reset()
-        self.fencing_token = fencing_token
+        self.orders.fencing_token = fencing_token
         self.fenced = False
         self.fleet.begin(now)
         for worker_id in self.fleet.workers:
@@ -104,7 +101,7 @@
     def end(self) -> None:
         """Stop to lead and forget volatile state."""
         self._reset()
-        self.fencing_token = 0
+        self.orders.fencing_token = 0
         self.fleet.workers.clear()
 
     def worker_reports(self, report: ReportWorker, now: Instant) -> bool:
@@ -198,32 +195,6 @@
         worker.ends_in_commit = True
         self._ends_listed.append((worker, worker.listed_end))
 
-    def next_hold(self, worker_id: str, now: Instant) -> HoldWorker | None:
-        """Return the next hold of a worker, None while none is due."""
-        worker = self.fleet.workers.get(worker_id)
-        if worker is None or not self.fencing_token or worker.ends_in_commit:
-            return None
-        if (
-            worker.reconciled
-            and worker.answered
-            and not worker.runs
-            and worker.acknowledged_end >= worker.listed_end
-        ):
-            return None
-        if (
-            not worker.answered
-            and not worker.runs
-            and not self.fleet.heard_recently(worker, now)
-        ):
-            # The next heartbeat wakes its tasks.
-            return None
-        return HoldWorker(
-            fencing_token=self.fencing_token,
-            acknowledged_end=worker.acknowledged_end,
-            wait_ms=self._wait_ms(worker),
-            lease_end_ms=self._lease_end(worker, now),
-        )
-
     def hold_answered(
         self,
         worker_id: str,
@@ -239,32 +210,6 @@
         self._answers.hold_answered(worker, answer, sent_boot_ms, now)
         self._wake(worker_id)
 
-    def next_order(
-        self, worker_id: str, now: Instant
-    ) -> tuple[RunKey, Order] | None:
-        """Return the next order to a worker, None while none is due."""
-        worker = self.fleet.workers.get(worker_id)
-        if (
-            worker is None
-            or not self.fencing_token
-            or not worker.reconciled
-            or not worker.clock.known
-        ):
-            return None
-        for run in list(worker.pending.values()):
-            if not run.needs_order:
-                del worker.pending[run.key]
-                continue
-            if run.in_flight or now.boot_ms < run.retry_boot_ms:
-                continue
-            order = self._order(worker, run, now)
-            if order is None:
-                continue
-            run.in_flight = True
-            run.sent = True
-            return run.key, order
-        return None
-
     def order_answered(
         self,
         worker_id: str,
@@ -290,18 +235,6 @@
             worker.pending[run.key] = run
         self._wake(worker_id)
 
-    def retry_due(self, worker_id: str, now: Instant) -> int | None:
-        """Return the milliseconds until an unanswered order is due."""
-        worker = self.fleet.workers.get(worker_id)
-        if worker is None:
-            return None
-        times = [
-            run.retry_boot_ms - now.boot_ms
-            for run in worker.pending.values()
-            if run.needs_order and not run.in_flight
-        ]
-        return max(1, min(times)) if times else None
-
     def plan(self, now: Instant) -> RecordRuns | None:
         """Return the next command, None if there is nothing to record.
 
@@ -352,7 +285,7 @@
                 run=run.run,
                 worker=worker.worker_id,
                 life=worker.description.life,
-                token=self.fencing_token,
+                token=self.orders.fencing_token,
                 pace=run.pace_wanted,
                 free_millicores=worker.free_millicores,
                 leftover_millicores=worker.leftover_millicores,
@@ -411,41 +344,6 @@
             self._wake(worker.worker_id)
         self._listed_in_commit = []
 
-    def _wait_ms(self, worker: WorkerState) -> int:
-        if not worker.reconciled:
-            return 0
-        if worker.serving_images and worker.filling_millicores:
-            return self._settings.watch_wait_ms
-        return self._settings.hold_wait_ms
-
-    def _lease_end(self, worker: WorkerState, now: Instant) -> int | None:
-        if not worker.clock.known:
-            return None
-        end_ms = worker.clock.expected(now.boot_ms) + self._settings.lease_ms
-        worker.lease_end_ms = max(worker.lease_end_ms, end_ms)
-        return end_ms
-
-    def _order(
-        self, worker: WorkerState, run: RunState, now: Instant
-    ) -> Order | None:
-        if run.stop_wanted:
-            return StopRun(run.task_key, run.run, self.fencing_token)
-        if run.phase is RunPhase.RUNNING:
-            return PaceRun(
-                run.task_key, run.run, run.pace_wanted, self.fencing_token
-            )
-        lease_end_ms = self._lease_end(worker, now)
-        if run.task is None or lease_end_ms is None:
-            return None
-        return StartRun(
-            task=run.task_key,
-            run=run.run,
-            payload=run.task.step.workflow.spec.payload,
-            lease_end_ms=lease_end_ms,
-            fencing_token=self.fencing_token,
-            checkpoint=run.task.checkpoint,
-        )
-
     def _reset(self) -> None:
         self._proposed = None
         self._ends = []
--- /dev/null
+++ b/src/sardinespool/dispatch/order_book.py
@@ -0,0 +1,135 @@
+"""Next hold and next order for each worker."""
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.orders import HoldWorker
+from sardinespool.dispatch.orders import Order
+from sardinespool.dispatch.orders import PaceRun
+from sardinespool.dispatch.orders import StartRun
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_state import RunKey
+from sardinespool.dispatch.worker_state import WorkerState
+
+
+class OrderBook:
+    """Turns the wanted state of runs into orders, one at a time.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Workers and their runs.
+    settings : DispatchSettings
+        Timing.
+
+    Attributes
+    ----------
+    fencing_token : int
+        Term of the leadership; 0 while this member does not lead.
+    """
+
+    def __init__(self, fleet: Fleet, settings: DispatchSettings) -> None:
+        self._fleet = fleet
+        self._settings = settings
+        self.fencing_token = 0
+
+    def next_hold(self, worker_id: str, now: Instant) -> HoldWorker | None:
+        """Return the next hold of a worker, None while none is due."""
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None or not self.fencing_token or worker.ends_in_commit:
+            return None
+        if (
+            worker.reconciled
+            and worker.answered
+            and not worker.runs
+            and worker.acknowledged_end >= worker.listed_end
+        ):
+            return None
+        if (
+            not worker.answered
+            and not worker.runs
+            and not self._fleet.heard_recently(worker, now)
+        ):
+            # The next heartbeat wakes its tasks.
+            return None
+        return HoldWorker(
+            fencing_token=self.fencing_token,
+            acknowledged_end=worker.acknowledged_end,
+            wait_ms=self._wait_ms(worker),
+            lease_end_ms=self._lease_end(worker, now),
+        )
+
+    def next_order(
+        self, worker_id: str, now: Instant
+    ) -> tuple[RunKey, Order] | None:
+        """Return the next order to a worker, None while none is due."""
+        worker = self._fleet.workers.get(worker_id)
+        if (
+            worker is None
+            or not self.fencing_token
+            or not worker.reconciled
+            or not worker.clock.known
+        ):
+            return None
+        for run in list(worker.pending.values()):
+            if not run.needs_order:
+                del worker.pending[run.key]
+                continue
+            if run.in_flight or now.boot_ms < run.retry_boot_ms:
+                continue
+            order = self._order(worker, run, now)
+            if order is None:
+                continue
+            run.in_flight = True
+            run.sent = True
+            return run.key, order
+        return None
+
+    def retry_due(self, worker_id: str, now: Instant) -> int | None:
+        """Return the milliseconds until an unanswered order is due."""
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None:
+            return None
+        times = [
+            run.retry_boot_ms - now.boot_ms
+            for run in worker.pending.values()
+            if run.needs_order and not run.in_flight
+        ]
+        return max(1, min(times)) if times else None
+
+    def _wait_ms(self, worker: WorkerState) -> int:
+        if not worker.reconciled:
+            return 0
+        if worker.serving_images and worker.filling_millicores:
+            return self._settings.watch_wait_ms
+        return self._settings.hold_wait_ms
+
+    def _lease_end(self, worker: WorkerState, now: Instant) -> int | None:
+        if not worker.clock.known:
+            return None
+        end_ms = worker.clock.expected(now.boot_ms) + self._settings.lease_ms
+        worker.lease_end_ms = max(worker.lease_end_ms, end_ms)
+        return end_ms
+
+    def _order(
+        self, worker: WorkerState, run: RunState, now: Instant
+    ) -> Order | None:
+        if run.stop_wanted:
+            return StopRun(run.task_key, run.run, self.fencing_token)
+        if run.phase is RunPhase.RUNNING:
+            return PaceRun(
+                run.task_key, run.run, run.pace_wanted, self.fencing_token
+            )
+        lease_end_ms = self._lease_end(worker, now)
+        if run.task is None or lease_end_ms is None:
+            return None
+        return StartRun(
+            task=run.task_key,
+            run=run.run,
+            payload=run.task.step.workflow.spec.payload,
+            lease_end_ms=lease_end_ms,
+            fencing_token=self.fencing_token,
+            checkpoint=run.task.checkpoint,
+        )
--- a/src/sardinespool/programs/controller/worker_links.py
+++ b/src/sardinespool/programs/controller/worker_links.py
@@ -73,7 +73,7 @@
             worker = self._dispatcher.fleet.workers.get(self._worker_id)
             hold = None
             if worker is not None and self._may_send():
-                hold = self._dispatcher.next_hold(self._worker_id, now)
+                hold = self._dispatcher.orders.next_hold(self._worker_id, now)
             if worker is None or hold is None:
                 await self._hold_due.wait()
                 self._hold_due.clear()
@@ -103,7 +103,7 @@
             worker = self._dispatcher.fleet.workers.get(self._worker_id)
             due = None
             if worker is not None and self._may_send():
-                due = self._dispatcher.next_order(self._worker_id, now)
+                due = self._dispatcher.orders.next_order(self._worker_id, now)
             if worker is None or due is None:
                 await self._wait(event)
                 continue
@@ -124,7 +124,7 @@
     async def _wait(self, event: asyncio.Event) -> None:
         """Wait until an order is due."""
         event.clear()
-        delay_ms = self._dispatcher.retry_due(
+        delay_ms = self._dispatcher.orders.retry_due(
             self._worker_id, system_clock.now()
         )
         if delay_ms is None:
--- a/src/sardinespool/programs/store/group_batches.py
+++ b/src/sardinespool/programs/store/group_batches.py
@@ -30,12 +30,14 @@
 from sardinespool.programs.store.runner_events import SyncRequested
 from sardinespool.programs.store.runner_events import TransferRequested
 from sardinespool.programs.store.runner_events import Woken
+from sardinespool.programs.store.sends import may_precede_sync
+from sardinespool.programs.store.sends import send_entries
+from sardinespool.programs.store.sends import send_others
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication import effects as replica_effects
 from sardinespool.replication import events as replica_events
 from sardinespool.replication.entries import Entry
 from sardinespool.replication.entries import EntryKind
-from sardinespool.replication.messages import AppendEntries
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.state import Snapshot
@@ -308,20 +310,14 @@
                 replica_effects.Persist | replica_effects.PersistSnapshot,
             )
         ]
-        # A leader's entries may leave before its own sync, so that followers
-        # sync meanwhile: it counts itself only from the next batch on. A new
-        # term or vote must be durable first.
-        early = not any(
-            isinstance(effect, replica_effects.Persist) and effect.hard_state
-            for effect in durable
-        )
+        early = may_precede_sync(durable)
         if early:
-            self._send_all(effects, early=True)
+            send_entries(effects, self._send)
         if durable:
             yield durable
         if not early:
-            self._send_all(effects, early=True)
-        self._send_all(effects, early=False)
+            send_entries(effects, self._send)
+        send_others(effects, self._send)
         for effect in effects:
             match effect:
                 case replica_effects.Apply(entries=entries):
@@ -334,15 +330,6 @@
                 case replica_effects.LeadershipChanged():
                     self._on_leadership_change(effect)
 
-    def _send_all(
-        self, effects: list[replica_effects.Effect], early: bool
-    ) -> None:
-        for effect in effects:
-            if isinstance(effect, replica_effects.Send) and early == (
-                isinstance(effect.message, AppendEntries)
-            ):
-                self._send(effect.to, effect.message)
-
     def _restore(self, index: int, data: bytes) -> None:
         self._machine.restore(data)
         self._applied_index = index
--- a/testing/dispatch/world.py
+++ b/testing/dispatch/world.py
@@ -198,7 +198,7 @@
         worker_id = worker.worker_id
         if self._holding.get(worker_id):
             return
-        hold = self.dispatcher.next_hold(worker_id, self.now())
+        hold = self.dispatcher.orders.next_hold(worker_id, self.now())
         if hold is None:
             return
         self._holding[worker_id] = True
@@ -232,7 +232,7 @@
     def _send_orders(self, worker: StandInWorker) -> None:
         dispatcher = self.dispatcher
         while True:
-            due = dispatcher.next_order(worker.worker_id, self.now())
+            due = dispatcher.orders.next_order(worker.worker_id, self.now())
             if due is None:
                 return
             key, order = due
