--- a/src/sardinespool/programs/store/group_batches.py
+++ b/src/sardinespool/programs/store/group_batches.py
@@ -30,6 +30,7 @@
 from sardinespool.programs.store.runner_events import SyncRequested
 from sardinespool.programs.store.runner_events import TransferRequested
 from sardinespool.programs.store.runner_events import Woken
+from sardinespool.programs.store.sends import Durable
 from sardinespool.programs.store.sends import may_precede_sync
 from sardinespool.programs.store.sends import send_entries
 from sardinespool.programs.store.sends import send_others
@@ -46,9 +47,6 @@
 
 SERVICE_TICK_INTERVAL_MS = 100
 
-Durable = list[replica_effects.Persist | replica_effects.PersistSnapshot]
-"""Effects that share one sync."""
-
 _LOG = get_logger("store")
 
 
--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -6,7 +6,6 @@
 from sardinespool.messages.codec import Request
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import SyncDomain
-from sardinespool.programs.store.group_batches import Durable
 from sardinespool.programs.store.group_batches import GroupBatches
 from sardinespool.programs.store.runner_events import CallReceived
 from sardinespool.programs.store.runner_events import PeerReceived
@@ -15,6 +14,7 @@
 from sardinespool.programs.store.runner_events import SyncRequested
 from sardinespool.programs.store.runner_events import TransferRequested
 from sardinespool.programs.store.runner_events import Woken
+from sardinespool.programs.store.sends import Durable
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.status import ReplicaStatus
 
--- a/src/sardinespool/programs/store/sends.py
+++ b/src/sardinespool/programs/store/sends.py
@@ -5,14 +5,17 @@
 
 from sardinespool.replication.effects import Effect
 from sardinespool.replication.effects import Persist
+from sardinespool.replication.effects import PersistSnapshot
 from sardinespool.replication.effects import Send
 from sardinespool.replication.messages import AppendEntries
 from sardinespool.replication.messages import PeerMessage
 
+Durable = list[Persist | PersistSnapshot]
+"""Effects that share one sync."""
 SendMessage = Callable[[str, PeerMessage], None]
 
 
-def may_precede_sync(durable: Iterable[Effect]) -> bool:
+def may_precede_sync(durable: Durable) -> bool:
     """Return whether a leader's entries may leave before its own sync.
 
     Followers then sync meanwhile; the leader counts itself only from the
--- a/testing/proof/stores.py
+++ b/testing/proof/stores.py
@@ -16,8 +16,8 @@
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.programs.store import domain_link
 from sardinespool.programs.store import runner_events
-from sardinespool.programs.store.group_batches import Durable
 from sardinespool.programs.store.group_batches import GroupBatches
+from sardinespool.programs.store.sends import Durable
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.settings import ReplicaSettings
 from testing.proof.engine import CrashedError
