Take lease and retention from the platform's settings

Cause: the bounds stood in the settings and were not read; other installations may have a shorter longest lease, and an ended job's retention is judged by a time of day that can jump. Change: two thirds of the longest lease, holds of a quarter of that, and 30 s more than the retention asked for.

--- a/src/sardinespool/platform/core.py
+++ b/src/sardinespool/platform/core.py
@@ -53,6 +53,7 @@
                 and settings.internal_address in settings.peers,
                 data_folder=pathlib.Path(settings.data_folder),
                 cluster_token=CONTROL_GROUP,
+                dispatch=settings.dispatch,
             ),
             WorkerClient(HttpConnections()),
             self._metrics,
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -6,12 +6,18 @@
 import msgspec
 import yaml
 
+from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.errors.settings import SettingsError
 from sardinespool.settings.addresses import split_address
 
 SETTINGS_VARIABLE = "SARDINESPOOL_BOOT"
 """Environment variable with the path of the settings file."""
 
+LEASE_LIMIT_MS = 6_000
+STATUS_S = 120
+"""Longest lease and retention of ended jobs where the settings name none."""
+CLOCK_JUMP_MS = 30_000
+"""Added to the retention of jobs, which is judged by the time of day."""
 STATUS_PORT = 9464
 """The port that ``deploy/system.toml`` names for metrics."""
 
@@ -36,9 +42,8 @@
         Control addresses of up to three core machines, possibly stale.
     first_start : bool
         Whether the whole system starts for the first time, with empty disks.
-    limits_ms : dict
-        The bounds that the platform checks, by its own names; mostly in
-        milliseconds.
+    bounds : dict
+        What the platform checks, by its own names.
     """
 
     node: str
@@ -59,6 +64,20 @@
         """Address for the other processes of the system."""
         return f"{self.ip}:{self.internal_ports[0]}"
 
+    @property
+    def dispatch(self) -> DispatchSettings:
+        """Timing of the dispatcher within the platform's bounds."""
+        lease_limit_ms = int(self.bounds.get("max_hold_ms", LEASE_LIMIT_MS))
+        status_s = int(self.bounds.get("status_s", STATUS_S))
+        lease_ms = lease_limit_ms * 2 // 3
+        return DispatchSettings(
+            # Two thirds of the longest lease: a shorter one would not outlast
+            # an election, a longer one delays the restart of lost tasks.
+            lease_ms=lease_ms,
+            hold_wait_ms=min(1_000, lease_ms // 4),
+            finished_job_retention_ms=status_s * 1_000 + CLOCK_JUMP_MS,
+        )
+
     @property
     def status_address(self) -> str:
         """Address of metrics, health and state dump."""
