Test the choice of workers

Change: cases for places of long-running tasks, limits of a step, workers where a task failed, and pairs of images that press.

--- /dev/null
+++ b/testing/dispatch/test_placing.py
@@ -0,0 +1,143 @@
+"""Choice of workers for the tasks of one step."""
+
+import pytest
+
+from sardinespool.dispatch.placing import Placing
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.tail_model import TailModel
+from sardinespool.dispatch.worker_state import WorkerState
+from sardinespool.messages.fleet import WorkerDescription
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.workflows.records import StepRecord
+from sardinespool.workflows.records import WorkflowRecord
+
+QUEUE = QueueSpec(
+    name="q",
+    host="h",
+    prefix="/",
+    pool="p",
+    priority=0,
+    failures_max=2,
+    stretch=1.5,
+    latency_objective_ms=100,
+)
+
+
+def worker(name: str, millicores: int, *labels: str) -> WorkerState:
+    description = WorkerDescription(
+        worker_id=name,
+        life=1,
+        address="10.0.0.1:80",
+        pool="p",
+        failure_domain="centro",
+        host=name,
+        labels=labels,
+        processors_millicores=millicores,
+        memory_mb=100_000,
+        accelerators=0,
+    )
+    return WorkerState(description, DispatchSettings(), 0)
+
+
+def step(spec: StepSpec) -> StepRecord:
+    workflow = WorkflowRecord(
+        "j", QUEUE, WorkflowSpec(payload="", steps=(spec,)), 0
+    )
+    return workflow.open_occurrence(0)[0]
+
+
+def place(
+    record: StepRecord,
+    workers: list[WorkerState],
+    model: TailModel | None = None,
+    shunned: set[str] = frozenset(),  # type: ignore[assignment]
+) -> list[str]:
+    """Place all tasks of a step; return the worker of each."""
+    placing = Placing(workers, model or TailModel(), {})
+    places = placing.workers_for(record, False, set(shunned))
+    chosen = []
+    for task in record.tasks:
+        found = next(places, None)
+        if found is None:
+            break
+        found[0].add_run(RunState(task.key, 1, task, RunPhase.ORDERED, 0))
+        chosen.append(found[0].worker_id)
+    return chosen
+
+
+@pytest.mark.parametrize(
+    ("rooms", "placed"),
+    [((4_000,), 3), ((2_000, 2_000), 3), ((1_000, 1_000), 1), ((1_000,), 0)],
+)
+def test_long_running_tasks_take_all_but_the_last_place(
+    rooms: tuple[int, ...], placed: int
+) -> None:
+    """Guards against a long-running task that waits beside two places."""
+    spec = StepSpec(count=4, processors_millicores=1_000, long_running=True)
+    workers = [worker(f"w{i}", room) for i, room in enumerate(rooms)]
+    assert len(place(step(spec), workers)) == placed
+
+
+def test_short_tasks_take_the_last_place() -> None:
+    """Guards against a place that is kept from those it is kept for."""
+    spec = StepSpec(count=4, processors_millicores=1_000)
+    assert place(step(spec), [worker("w", 4_000)]) == ["w"] * 4
+
+
+def test_limits_of_a_step_hold() -> None:
+    """Guards against too many tasks on a worker, or one without the label."""
+    spec = StepSpec(
+        count=5,
+        processors_millicores=100,
+        tasks_per_worker_max=2,
+        required_label="b",
+    )
+    workers = [
+        worker("plain", 9_000, "a"),
+        worker("b1", 1_000, "b"),
+        worker("b2", 1_000, "b"),
+    ]
+    assert sorted(place(step(spec), workers)) == ["b1", "b1", "b2", "b2"]
+
+
+def test_worker_where_a_task_failed_is_the_last_choice() -> None:
+    """Guards against a retry on the worker that fails everything."""
+    spec = StepSpec(count=1, processors_millicores=100)
+    workers = [worker("bad", 64_000), worker("good", 1_000)]
+    assert place(step(spec), workers, shunned={"bad"}) == ["good"]
+    assert place(step(spec), workers[:1], shunned={"bad"}) == ["bad"]
+
+
+def test_filling_tasks_go_where_they_do_not_press() -> None:
+    """Guards against tails over their target by a known bad pair."""
+    model = TailModel()
+    for now_ms in range(0, 20_000, 500):
+        use = 0.1 if now_ms % 1_000 else 0.0
+        tail_ms = 30.0 if use else 10.0
+        model.observe("web", tail_ms, 0.0, {"heavy": use}, now_ms)
+        model.observe("api", 10.0, 0.0, {"heavy": use}, now_ms)
+    assert model.press("web", "heavy") > 3 * model.press("api", "heavy")
+    workers = [worker("web", 64_000), worker("api", 64_000)]
+    for state in workers:
+        serving = step(
+            StepSpec(
+                count=1,
+                processors_millicores=8_000,
+                long_running=True,
+                image=state.worker_id,
+                tail_latency_target_ms=18,
+            )
+        )
+        run = RunState("s.0.0.0", 1, serving.tasks[0], RunPhase.RUNNING, 0)
+        state.add_run(run)
+    filling = StepSpec(
+        count=3,
+        processors_millicores=7_000,
+        uses_leftover_processors=True,
+        image="heavy",
+    )
+    assert place(step(filling), workers, model) == ["api"] * 3
