Stop starts that the next life of a worker may have taken

Cause: the answer to a start does not name the life that gave it. Ruled out: late orders, which carry unanswered > 0 and were stopped already.

Change: a run that no list of its life has shown is treated like a start without answer: it ends once the new life has confirmed a stop of it. Also, a leader whose order was refused for a higher token sends no more orders in that leadership; it resent them until its lease ended.

--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -35,8 +35,6 @@
 class RunControl(Protocol):
     """What the handler asks of the dispatcher."""
 
-    fenced: bool
-
     def end_run(
         self,
         worker: WorkerState,
@@ -51,6 +49,9 @@
     ) -> None:
         """Stop a run."""
 
+    def stop_ordering(self) -> None:
+        """Send no more orders: a worker has seen a higher token."""
+
     def note_listed_ends(self, worker: WorkerState) -> None:
         """Commit the listed ends before they are acknowledged."""
 
@@ -186,7 +187,7 @@
             )
 
     def _fence(self, worker: WorkerState) -> None:
-        self._control.fenced = True
+        self._control.stop_ordering()
         _LOG.warning("fenced by a higher token", worker=worker.worker_id)
 
     def _replaced(self, worker: WorkerState) -> None:
@@ -298,6 +299,7 @@
             worker.add_run(run)
             self._control.stop_run(worker, run, "not assigned")
             return
+        run.listed = True
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
             run.progress_boot_ms = now.boot_ms
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -50,8 +50,6 @@
     ----------
     orders : OrderBook
         Next hold and next order for each worker.
-    fenced : bool
-        A worker has seen a higher token.
     """
 
     def __init__(
@@ -75,7 +73,6 @@
             machine, self.fleet, settings, model, self._health
         )
         self.orders = OrderBook(self.fleet, settings)
-        self.fenced = False
         self._proposed: RecordRuns | None = None
         self._ends: list[RunEnd] = []
         self._ended_runs: list[tuple[WorkerState, RunState]] = []
@@ -93,7 +90,7 @@
         """Start to lead with a token above all earlier ones."""
         self._reset()
         self.orders.fencing_token = fencing_token
-        self.fenced = False
+        self.orders.fenced = False
         self.fleet.begin(now)
         for worker_id in self.fleet.workers:
             self._wake(worker_id)
@@ -162,6 +159,10 @@
         worker.pending[run.key] = run
         self._wake(worker.worker_id)
 
+    def stop_ordering(self) -> None:
+        """Send no more orders in this leadership: another one has begun."""
+        self.orders.fenced = True
+
     def end_run(
         self,
         worker: WorkerState,
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -129,9 +129,10 @@
     ) -> None:
         """Replace a worker by its next life.
 
-        What the earlier life ran has ended. A start that it did not answer
-        can still reach the new life, so its run ends only once the new life
-        has confirmed a stop of it.
+        What the earlier life listed has ended with it. A run that it never
+        listed may be on the new life: the start got no answer and can still
+        arrive, or the new life answered it before its first heartbeat. Such
+        a run ends only once the new life has confirmed a stop of it.
         """
         _LOG.info(
             "worker started anew",
@@ -153,11 +154,12 @@
                 # The call was cut off; nobody knows whether it arrived.
                 run.unanswered += 1
                 worker.unanswered_starts[run.key] = (now.boot_ms, run)
-            if run.unanswered and run.phase is not RunPhase.ENDED:
+            uncertain = run.unanswered or (run.sent and not run.listed)
+            if uncertain and run.phase is not RunPhase.ENDED:
                 run.phase = RunPhase.ORDERED
                 run.stop_wanted = True
                 run.stop_confirmed = False
-                run.stop_reason = "unanswered start of an earlier life"
+                run.stop_reason = "start of an earlier life, never listed"
                 run.in_flight = False
                 fresh.add_run(run)
             else:
--- a/src/sardinespool/dispatch/order_book.py
+++ b/src/sardinespool/dispatch/order_book.py
@@ -28,17 +28,26 @@
     ----------
     fencing_token : int
         Term of the leadership; 0 while this member does not lead.
+    fenced : bool
+        Whether a worker has seen a higher token. Another member leads then,
+        and each further order would be refused too.
     """
 
     def __init__(self, fleet: Fleet, settings: DispatchSettings) -> None:
         self._fleet = fleet
         self._settings = settings
         self.fencing_token = 0
+        self.fenced = False
+
+    @property
+    def may_order(self) -> bool:
+        """Whether orders of this leadership can be accepted."""
+        return bool(self.fencing_token) and not self.fenced
 
     def next_hold(self, worker_id: str, now: Instant) -> HoldWorker | None:
         """Return the next hold of a worker, None while none is due."""
         worker = self._fleet.workers.get(worker_id)
-        if worker is None or not self.fencing_token or worker.ends_in_commit:
+        if worker is None or not self.may_order or worker.ends_in_commit:
             return None
         if (
             worker.reconciled
@@ -68,7 +77,7 @@
         worker = self._fleet.workers.get(worker_id)
         if (
             worker is None
-            or not self.fencing_token
+            or not self.may_order
             or not worker.reconciled
             or not worker.clock.known
         ):
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -37,6 +37,9 @@
     known_boot_ms : int
         When the worker last confirmed the run or its stop. A list that was
         asked for before tells nothing about it.
+    listed : bool
+        Whether a list of the run's worker life has shown it. The answer to a
+        start does not name the life that gave it.
     retry_boot_ms : int
         Earliest time of the next order.
     load : int or None
@@ -56,6 +59,7 @@
         "committed",
         "in_flight",
         "known_boot_ms",
+        "listed",
         "load",
         "ordered_boot_ms",
         "pace",
@@ -97,6 +101,7 @@
         self.stop_confirmed = False
         self.stop_reason = ""
         self.known_boot_ms = now_boot_ms
+        self.listed = False
         self.ordered_boot_ms = now_boot_ms
         self.retry_boot_ms = 0
         self.checkpoint = ""
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -167,3 +167,46 @@
     world.workers["w1"].hanging = True
     names = submit_jobs(world, 4)
     settle(world, names)
+
+
+def test_start_that_the_next_life_answers_is_not_repeated() -> None:
+    """Guards against a second run beside one that a new life answered.
+
+    The answer to a start does not name the life of the worker, so a life
+    that began before its first heartbeat takes starts meant for the last.
+    """
+    world = World(5, workers=2)
+    world.run(1_500)
+    worker = world.workers["w0"]
+    worker.crash()
+    worker.begin_life(world.now_ms)
+    step = StepSpec(
+        count=8,
+        processors_millicores=1_000,
+        memory_mb=100,
+        expected_run_ms=700,
+    )
+    world.submit("job", step)
+    settle(world, ["job"])
+
+
+def test_deposed_leader_stops_ordering() -> None:
+    """Guards against a leader that repeats orders with a lower token."""
+    world = World(6)
+    world.run(1_500)
+    step = StepSpec(
+        count=6,
+        processors_millicores=1_000,
+        memory_mb=100,
+        expected_run_ms=700,
+    )
+    for worker in world.workers.values():
+        worker.see_token(world.term + 1)
+    world.submit("job", step)
+    world.run(500)
+    refused = sum(worker.fenced for worker in world.workers.values())
+    # Each start and each hold that was on its way with the first refusal.
+    assert 0 < refused <= step.count + len(world.workers)
+    world.run(2_000)
+    assert refused == sum(worker.fenced for worker in world.workers.values())
+    assert world.oracle.starts == 0
--- a/testing/dispatch/worker_standin.py
+++ b/testing/dispatch/worker_standin.py
@@ -51,6 +51,8 @@
         Seed of run times and failures.
     failing, hanging : bool
         Whether everything that starts here fails, or stands still.
+    fenced : int
+        Orders and holds that were refused for a lower token.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.worker_id = worker_id
         self.failing = failing
         self.hanging = False
+        self.fenced = 0
         self.up = True
         self.reachable = True
         self._oracle = oracle
@@ -106,6 +109,10 @@
         """Return the worker's own clock, which may be slow."""
         return int((now_ms - self._born_ms) * self._rate)
 
+    def see_token(self, token: int) -> None:
+        """Take the token of another leader's order."""
+        self._token = max(self._token, token)
+
     def advance(self, now_ms: int) -> None:
         """End the runs that are due and those whose lease has ended."""
         if not self.up:
@@ -122,6 +129,7 @@
         self.advance(now_ms)
         clock_ms = self.clock(now_ms)
         if order.fencing_token < self._token:
+            self.fenced += 1
             return OrderRefused(Refusal.FENCED, clock_ms)
         self._token = order.fencing_token
         match order:
@@ -142,6 +150,7 @@
         self.advance(now_ms)
         clock_ms = self.clock(now_ms)
         if hold.fencing_token < self._token:
+            self.fenced += 1
             return OrderRefused(Refusal.FENCED, clock_ms)
         self._token = hold.fencing_token
         if hold.lease_end_ms is not None:
