Forecast the tails of serving tasks and start filling tasks by it

Change: headroom (target over tail) takes the place of levels. A step's load is a periodic curve whose period is found from the reports; press by pair is a Kalman filter; paces leave what the curve needs for the next 1.1 s, in the order of placement; a filling task starts only where it may work at full pace at once, and one start at a time tries an untried pair.

--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -1,31 +1,36 @@
 """Pace of filling tasks beside serving ones."""
 
 from sardinespool.clock import Instant
-from sardinespool.dispatch.placing import HARMLESS_PRESS
 from sardinespool.dispatch.run_state import FULL_PACE
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.tail_model import headroom_of
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 
-SLOW_MARGIN = 0.04
-"""Distance of a level from its limit at which what fills is slowed."""
-AIM_MARGIN = 0.1
-"""Distance from the limit that a slower pace aims at; a load rises by 0.1
-in the second until the next change takes effect."""
-CHANGE_INTERVAL_MS = 600
-"""The tail lags half a second behind, and a new pace takes 100 ms."""
+HORIZONS_MS = (200, 650, 1_100)
+"""Times at which a pace must leave the tails below their targets: it takes
+effect after 100 ms, and the next one a second later at the latest."""
+CHANGE_INTERVAL_MS = 400
+"""Tails are measured each half second."""
 REPORT_INTERVAL_MS = 400
-"""Tails are measured each half second; nearer reports repeat one."""
-PACE_STEP = 40
-"""Largest raise, in percent points."""
+"""Nearer reports repeat one measurement."""
+NEAR_HEADROOM = 1.3
+"""Headroom below which the measured tail rules, whatever is expected."""
 PACE_MIN = 8
 """Percent below which a run is halted; it would not get on."""
 PACE_CHANGE_MIN = 8
-"""Smaller changes are not worth a call."""
+"""Smaller raises are not worth a call."""
+MEASURED_PACE_MIN = 30
+"""Percent from which a run's measured use tells that of its full pace."""
+USE_RESERVE = 1.15
+"""Processors that a run may find beyond its last half second."""
+HARMLESS_PRESS = 0.06
+"""Part of the headroom that a task at full pace may take unheeded; the least
+of what pairs that press take is several times as much."""
 
-Pressed = list[tuple[str, float, float]]
-"""Image, distance from the limit and margin of each serving run."""
+Rooms = dict[str, float]
+"""Headroom that may be taken by what fills, by serving image."""
 
 
 class Pacing:
@@ -34,7 +39,7 @@
     Parameters
     ----------
     model : TailModel
-        Press by pair of images.
+        Press by pair of images, and load curves.
     """
 
     def __init__(self, model: TailModel) -> None:
@@ -51,7 +56,7 @@
             Time of the list.
         """
         worker.measure_filling()
-        pressed: Pressed = []
+        rooms: Rooms = {}
         filling: list[RunState] = []
         for run in worker.runs.values():
             step = run.step
@@ -59,26 +64,20 @@
                 continue
             target_ms = step.spec.tail_latency_target_ms
             if target_ms and run.load:
+                self._learn(worker, run, target_ms, run.load, now)
+                room = self._room(worker, run, target_ms, run.load, now)
                 image = step.spec.image
-                self._learn(worker, run, image, run.load, now)
-                limit = self._model.level(image, target_ms)
-                level = self._model.level(image, run.load)
-                load = run.serving_load or 0.0
-                pressed.append(
-                    (image, limit - level, self._model.margin(image, load))
-                )
+                rooms[image] = min(rooms.get(image, room), room)
             elif step.spec.uses_leftover_processors and not run.stop_wanted:
                 filling.append(run)
         elapsed_ms = now.boot_ms - worker.pace_changed_boot_ms
         if not filling or elapsed_ms < CHANGE_INTERVAL_MS:
             return
+        # The run that was placed first was the most urgent one then.
+        filling.sort(key=lambda run: run.ordered_boot_ms)
         changed = False
-        if pressed and min(left for _, left, _ in pressed) < SLOW_MARGIN:
-            for image, left, _ in pressed:
-                if left < SLOW_MARGIN:
-                    changed |= self._slow(worker, filling, image, left)
-        else:
-            changed = self._fasten(worker, filling, pressed)
+        for run in filling:
+            changed |= self._grant(worker, run, rooms)
         if changed:
             worker.pace_changed_boot_ms = now.boot_ms
 
@@ -86,80 +85,90 @@
         self,
         worker: WorkerState,
         run: RunState,
-        image: str,
+        target_ms: int,
         tail_ms: int,
         now: Instant,
     ) -> None:
-        if now.boot_ms - run.sampled_boot_ms < REPORT_INTERVAL_MS:
+        step = run.step
+        if step is None or (
+            now.boot_ms - run.tail.sampled_ms < REPORT_INTERVAL_MS
+        ):
             return
-        run.sampled_boot_ms = now.boot_ms
-        run.serving_load = self._model.observe(
-            image, tail_ms, run.serving_load, worker.filling_use, now.boot_ms
+        self._model.observe(
+            step.key,
+            step.spec.image,
+            run.tail,
+            headroom_of(target_ms, tail_ms),
+            target_ms,
+            worker.filling_use,
+            now.boot_ms,
         )
 
-    def _part(
-        self, worker: WorkerState, run: RunState, image: str, use: float
+    def _room(
+        self,
+        worker: WorkerState,
+        run: RunState,
+        target_ms: int,
+        tail_ms: int,
+        now: Instant,
     ) -> float:
-        """Return what a run adds to the level of a serving image."""
+        """Return the headroom of a serving run that fills may take."""
         step = run.step
         if step is None:
             return 0.0
-        whole = max(1, worker.description.processors_millicores)
-        return self._model.press(image, step.spec.image) * use / whole
+        image = step.spec.image
+        key = step.key
+        least = 1.0 + self._model.margin
+        expected = [
+            self._model.headroom(key, image, run.tail, now.boot_ms + ahead_ms)
+            for ahead_ms in HORIZONS_MS
+        ]
+        room = min(expected) - least
+        measured = headroom_of(target_ms, tail_ms)
+        if measured < NEAR_HEADROOM:
+            taken = self._model.added(image, worker.filling_use)
+            room = min(room, taken + measured - least)
+        return room
 
-    def _slow(
-        self,
-        worker: WorkerState,
-        filling: list[RunState],
-        image: str,
-        left: float,
-    ) -> bool:
-        parts = {
-            run.key: self._part(worker, run, image, run.used_millicores)
-            for run in filling
-        }
-        total = sum(parts.values())
-        excess = AIM_MARGIN - left
-        # If the known press can't explain the level, all are slowed.
-        explained = total >= excess
-        factor = 1.0 - excess / total if explained else 0.0
-        changed = False
-        for run in filling:
-            if parts[run.key] > HARMLESS_PRESS or not explained:
-                pace = int(run.pace_wanted * factor)
-                changed |= _set_pace(
-                    worker, run, pace if pace >= PACE_MIN else 0
-                )
-        return changed
-
-    def _fasten(
-        self,
-        worker: WorkerState,
-        filling: list[RunState],
-        pressed: Pressed,
-    ) -> bool:
-        changed = False
-        room: dict[str, float] = {}
-        for image, left, margin in pressed:
-            room[image] = min(room.get(image, left), left - margin)
-        for run in filling:
-            if run.pace_wanted >= FULL_PACE or run.step is None:
-                continue
-            full = run.step.spec.processors_millicores
-            raised = min(PACE_STEP, FULL_PACE - run.pace_wanted)
-            costs = {
-                image: self._part(worker, run, image, full) / FULL_PACE
-                for image in room
-            }
-            for image, cost in costs.items():
-                if cost * raised > max(0.0, room[image]):
-                    raised = int(max(0.0, room[image]) / cost)
-            if raised < min(PACE_CHANGE_MIN, FULL_PACE - run.pace_wanted):
+    def _grant(self, worker: WorkerState, run: RunState, rooms: Rooms) -> bool:
+        """Set the pace that the rooms allow and take its part of them."""
+        step = run.step
+        if step is None:
+            return False
+        whole = max(1, worker.description.processors_millicores)
+        share = _full_use(run) / whole
+        costs: dict[str, float] = {}
+        pace = FULL_PACE
+        for image, room in rooms.items():
+            cost = self._model.press(image, step.spec.image) * share
+            if cost <= HARMLESS_PRESS:
                 continue
-            for image, cost in costs.items():
-                room[image] -= cost * raised
-            changed |= _set_pace(worker, run, run.pace_wanted + raised)
-        return changed
+            costs[image] = cost
+            pace = min(pace, int(FULL_PACE * max(0.0, room) / cost))
+        if pace < PACE_MIN:
+            pace = 0
+        raised = pace - run.pace_wanted
+        if 0 < raised < PACE_CHANGE_MIN and pace < FULL_PACE:
+            pace = run.pace_wanted
+        for image, cost in costs.items():
+            rooms[image] -= cost * pace / FULL_PACE
+        return _set_pace(worker, run, pace)
+
+
+def _full_use(run: RunState) -> float:
+    """Return the processors that a run would use at full pace."""
+    step = run.step
+    if step is None:
+        return 0.0
+    declared = step.spec.processors_millicores
+    if (
+        run.load is None
+        or run.pace < MEASURED_PACE_MIN
+        or run.pace != run.pace_wanted
+    ):
+        return declared
+    # What else fills may leave it less than it could use.
+    return min(declared, run.load * FULL_PACE / run.pace * USE_RESERVE)
 
 
 def _set_pace(worker: WorkerState, run: RunState, pace: int) -> bool:
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.filling import Filling
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import Health
 from sardinespool.dispatch.health import StopRuns
@@ -40,6 +41,10 @@
 """Pause after a pass that found no room, unless room becomes free; tails and
 paces change within half a second."""
 
+FILL_INTERVAL_MS = 25
+"""Pause between passes that place filling tasks, which cost the most; their
+jobs are due after seconds."""
+
 Planned = list[tuple[WorkerState, RunState]]
 
 
@@ -70,17 +75,20 @@
     ) -> None:
         self._health = health
         self._model = model
+        self._filling = Filling(model)
         self._machine = machine
         self._fleet = fleet
         self._settings = settings
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
+        self._fill_due_boot_ms = 0
         self._waiting_since: dict[tuple[str, int, int], int] = {}
 
     def reset(self) -> None:
         """Forget what earlier passes left."""
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
+        self._fill_due_boot_ms = 0
         self._waiting_since.clear()
 
     def look_again(self) -> None:
@@ -110,13 +118,17 @@
             for key, since in self._waiting_since.items()
             if key in ready
         }
-        demand = filling_demand(ready.values())
+        self._filling.begin_pass(filling_demand(ready.values()), now.boot_ms)
         places = {
-            pool: Placing(workers, self._model, demand)
+            pool: Placing(workers, self._filling)
             for pool, workers in usable.items()
         }
+        fills = now.boot_ms >= self._fill_due_boot_ms
+        if fills:
+            self._fill_due_boot_ms = now.boot_ms + FILL_INTERVAL_MS
         planned: Planned = []
         left = False
+        no_room: dict[str, int] = {}
         for step in sorted(
             ready.values(), key=lambda step: self._urgency(step, now)
         ):
@@ -124,11 +136,18 @@
                 break
             queue = self._machine.queue_of(step.workflow)
             placing = places.get(queue.pool)
-            if placing is not None:
+            if placing is not None and (
+                not step.spec.uses_leftover_processors
+                or (fills and not self._is_hopeless(step, no_room, now))
+            ):
                 planned += self._place_step(step, placing, now)
+                if step.waiting and step.spec.uses_leftover_processors:
+                    no_room[step.spec.image] = step.spec.processors_millicores
             left = left or bool(step.waiting)
         if left and not planned:
-            self._pass_due_boot_ms = now.boot_ms + IDLE_PASS_INTERVAL_MS
+            self._pass_due_boot_ms = now.boot_ms + (
+                IDLE_PASS_INTERVAL_MS if fills else FILL_INTERVAL_MS
+            )
         assignments = tuple(
             Assignment(
                 run.task_key,
@@ -154,6 +173,7 @@
         if now.boot_ms < self._forget_due_boot_ms:
             return ()
         self._forget_due_boot_ms = now.boot_ms + FORGET_INTERVAL_MS
+        self._forget_estimates()
         before_unix_ms = now.unix_ms - self._settings.finished_job_retention_ms
         return tuple(
             workflow.job_id
@@ -161,6 +181,19 @@
             if workflow.is_final and workflow.ended_unix_ms < before_unix_ms
         )
 
+    def _forget_estimates(self) -> None:
+        """Drop what was learned of runs and workers that are gone."""
+        workers = self._fleet.workers
+        self._model.forget(
+            {
+                run.step.key
+                for worker in workers.values()
+                for run in worker.runs.values()
+                if run.step is not None
+            }
+        )
+        self._filling.keep(set(workers))
+
     def keep_up(self, now: Instant, control: StopRuns) -> None:
         """Move long-running tasks away from workers that drain."""
         for worker in self._fleet.workers.values():
@@ -201,6 +234,17 @@
                 ):
                     control.stop_run(worker, run, "slowed for long")
 
+    def _is_hopeless(
+        self, step: StepRecord, no_room: dict[str, int], now: Instant
+    ) -> bool:
+        """Return whether a smaller task of the image found no worker."""
+        least = no_room.get(step.spec.image)
+        return (
+            least is not None
+            and step.spec.processors_millicores >= least
+            and not self._is_starved(step, now)
+        )
+
     def _is_starved(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a step that nothing runs of has waited for long."""
         since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
@@ -250,17 +294,15 @@
             self._health.shunned(step.key),
         )
         for index in sorted(step.waiting):
-            place = next(workers, None)
-            if place is None:
+            worker = next(workers, None)
+            if worker is None:
                 break
-            worker, pace = place
             task = step.tasks[index]
             number = gang_run if step.spec.gang else task.run + 1
             run = RunState(
                 task.key, number, task, RunPhase.ORDERED, now.boot_ms
             )
             run.committed = False
-            run.pace_wanted = pace
             worker.add_run(run)
             planned.append((worker, run))
         if step.spec.gang and len(planned) < step.spec.count:
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from sardinespool.dispatch.tail_model import TailState
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.records import TaskRecord
 
@@ -44,10 +45,8 @@
         Earliest time of the next order.
     load : int or None
         Tail latency or processors in use, see `RunningRow`.
-    serving_load : float or None
-        Load of a serving run without what fills beside it, see `TailModel`.
-    sampled_boot_ms : int
-        When the tail last entered the model.
+    tail : TailState
+        What the reports of a serving run showed.
     progress_boot_ms : int
         When `percent` last changed.
     slowed_boot_ms : int or None
@@ -69,13 +68,12 @@
         "progress_boot_ms",
         "retry_boot_ms",
         "run",
-        "sampled_boot_ms",
         "sent",
-        "serving_load",
         "slowed_boot_ms",
         "stop_confirmed",
         "stop_reason",
         "stop_wanted",
+        "tail",
         "task",
         "task_key",
         "unanswered",
@@ -109,8 +107,7 @@
         self.load: int | None = None
         self.slowed_boot_ms: int | None = None
         self.progress_boot_ms = now_boot_ms
-        self.sampled_boot_ms = 0
-        self.serving_load: float | None = None
+        self.tail = TailState()
         self.pace = FULL_PACE
         self.pace_wanted = FULL_PACE
 
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -1,78 +1,120 @@
 """How filling tasks press on the tail latency of serving ones.
 
-A serving task is taken as a queue: its tail is ``floor / (1 - level)``,
-where the level is the sum of its own load and of what fills beside it. Each
-filling image adds the press of the pair of images times the share of the
-worker's processors that it uses. In the reports of a played day a few pairs
-press hard (1.5 and more) and most hardly at all, and the load of a task
-swings by half within ten seconds.
+The headroom of a serving task is its target over its tail: below 1 it is
+over its target. For a task that behaves like a queue, the inverse of the
+tail falls linearly with the load, so headroom is taken as a curve of the
+step's own load less the press of what fills beside it: for each pair of
+images, a press times the share of the worker's processors that the filling
+tasks use. In the reports of played days a third of the pairs press by 5 to
+11 and the others hardly at all.
 """
 
+import dataclasses
 from collections.abc import Mapping
 
-from sardinespool.placement.estimates import ShrunkenMeans
-
-PRESS_PRIOR = 0.6
-"""Press of a pair before any report; a third of the pairs press by 1.7."""
-PRESS_DEVIATION = 0.8
-PRIOR_REPORTS = 2.0
-HALF_LIFE_MS = 10_000
-"""Age at which a report counts half; the press changes within seconds."""
-LOAD_PRIOR = 0.45
-"""Level of a serving task before any report."""
-PRESS_MAX = 5.0
-"""Reports beyond are clipped, so that one report has little effect."""
-USE_MIN = 0.01
+from sardinespool.dispatch.load_curve import find_period_ms
+from sardinespool.dispatch.load_curve import LoadCurve
+
+CurveKey = tuple[str, int, int]
+"""Job, occurrence and step whose tasks share their swings of load."""
+
+PRESS_PRIOR = 2.5
+"""Press of a pair before any report: the mean over all pairs."""
+PRESS_VARIANCE = 14.0
+"""Variance of the press among pairs."""
+PRESS_VARIANCE_MIN = 0.05
+PRESS_DRIFT = 0.02
+"""Variance that a second adds to a press, which may change slowly."""
+PRESS_MAX = 30.0
+UNTRIED_VARIANCE = 4.0
+"""Variance above which a press that halts a worker's filling is possible."""
+HEADROOM_PRIOR = 2.6
+"""Mean headroom of played days before any report of an image."""
+HEADROOM_STEP = 0.02
+"""Step of the mean headroom of an image for each report."""
+HEADROOM_NOISE = 0.12
+"""Standard deviation of a report around the model, rounding excepted."""
+ROUNDING_MS = 0.29
+"""Standard deviation of a figure that is rounded to whole milliseconds."""
+SATURATED_HEADROOM = 0.9
+"""Below it requests queue up, and the tail tells nothing of the load."""
+SATURATED_NOISE = 1.0
+SATURATED_MS = 2_000
+"""Time in which such a queue empties."""
+USE_MIN = 0.005
 """Shares of a worker below this tell nothing about a press."""
-FULL_WEIGHT_USE = 0.1
-"""Share of a worker from which a report counts in full."""
-LOAD_STEP = 0.5
-"""Weight of the last report in the load of a serving task."""
-
-MARGIN_MAX = 0.14
-"""Distance that a level keeps from its limit while the load may rise; it
-rises by up to 0.13 a second."""
-MARGIN_MIN = 0.09
-"""Distance that a level keeps at the peak of its load."""
-OWN_WEIGHT = 0.5
-"""Weight of a task's own load against the mean of its image."""
-MEAN_STEP = 0.02
-"""Step of the mean load of an image for each report."""
-PEAK_RISE = 0.2
-PEAK_FALL = 0.003
-"""Steps of the estimate of an image's peak load for each report."""
+OFFSET_STEP = 0.4
+"""Weight of the last report in a task's distance from its curve."""
+OFFSET_WEIGHT = 0.6
+"""Part of that distance that is expected to last for a second."""
+PERIOD_SEARCH_INTERVAL_MS = 3_000
+
+MARGIN_MIN = 0.1
+MARGIN_MAX = 0.6
+"""Bounds of the margin; the largest covers a second of the steepest rise of
+load on the played days."""
+ERROR_QUANTILE = 0.9
+ERROR_STEP = 0.02
+"""Step by which the quantile of the errors follows each report."""
+NEAR_HEADROOM = 2.0
+"""Expected headroom above which errors say little of those near the target,
+since tails are rounded."""
+
+
+@dataclasses.dataclass(slots=True)
+class Press:
+    """Estimate of one pair."""
+
+    mean: float
+    variance: float
+    updated_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class TailState:
+    """What a serving task's reports showed.
+
+    Attributes
+    ----------
+    offset : float
+        Mean distance of the reports from the model.
+    saturated_until_ms : int
+        Until then the tail comes from a queue that empties.
+    sampled_ms : int
+        Time of the last report.
+    """
+
+    offset: float = 0.0
+    saturated_until_ms: int = 0
+    sampled_ms: int = 0
 
 
 class TailModel:
-    """Learned press by pair of images (serving, filling)."""
+    """Learned press by pair of images (serving, filling) and load curves.
+
+    Times are in milliseconds of the boot clock.
+    """
 
     def __init__(self) -> None:
-        self._press: ShrunkenMeans[tuple[str, str]] = ShrunkenMeans(
-            PRESS_PRIOR, PRESS_DEVIATION, PRIOR_REPORTS, HALF_LIFE_MS, 1.0
-        )
-        self._floor_ms: dict[str, float] = {}
-        self._peak: dict[str, float] = {}
+        self._press: dict[tuple[str, str], Press] = {}
+        self._curves: dict[CurveKey, LoadCurve] = {}
         self._mean: dict[str, float] = {}
-
-    def level(self, serving: str, tail_ms: float) -> float:
-        """Return the level of a tail, from 0 at its floor to 1.
-
-        Parameters
-        ----------
-        serving : str
-            Image of the serving task.
-        tail_ms : float
-            A reported tail, or a target.
-        """
-        floor_ms = self._floor_ms.get(serving, tail_ms)
-        return 1.0 - floor_ms / max(tail_ms, floor_ms, 0.1)
+        self._period_ms: int | None = None
+        self._search_due_ms = 0
+        self.margin = MARGIN_MAX
 
     def press(self, serving: str, filling: str) -> float:
         """Return the press of a pair for a whole worker of use."""
-        return max(0.0, self._press.mean((serving, filling)))
+        press = self._press.get((serving, filling))
+        return PRESS_PRIOR if press is None else max(0.0, press.mean)
+
+    def is_untried(self, serving: str, filling: str) -> bool:
+        """Return whether hardly anything is known of a pair."""
+        press = self._press.get((serving, filling))
+        return press is None or press.variance > UNTRIED_VARIANCE
 
     def added(self, serving: str, use: Mapping[str, float]) -> float:
-        """Return what filling images add to the level of a serving image.
+        """Return what filling images take from a serving image's headroom.
 
         Parameters
         ----------
@@ -83,72 +125,142 @@
             self.press(serving, image) * share for image, share in use.items()
         )
 
-    def expected_load(self, serving: str, load: float | None) -> float:
-        """Return the load of a task, drawn towards the mean of its image.
-
-        The tails of one half second are few samples, and the highest of
-        several noisy loads would rule a worker.
-        """
-        mean = self._mean.get(serving, LOAD_PRIOR)
-        if load is None:
-            return mean
-        return mean + OWN_WEIGHT * (load - mean)
-
-    def margin(self, serving: str, load: float) -> float:
-        """Return the distance that a level must keep from its limit.
-
-        Parameters
-        ----------
-        load : float
-            Present load; it is not expected to rise above the image's peak.
-        """
-        peak = self._peak.get(serving, 1.0)
-        return min(MARGIN_MAX, max(MARGIN_MIN, peak - load))
+    def headroom(
+        self,
+        key: CurveKey,
+        serving: str,
+        state: TailState | None,
+        at_ms: int,
+    ) -> float:
+        """Return a task's expected headroom with nothing beside it."""
+        curve = self._curves.get(key)
+        if curve is None:
+            return self._mean.get(serving, HEADROOM_PRIOR)
+        offset = OFFSET_WEIGHT * state.offset if state is not None else 0.0
+        return curve.at(at_ms) + offset
 
     def observe(
         self,
+        key: CurveKey,
         serving: str,
-        tail_ms: float,
-        load: float | None,
+        state: TailState,
+        headroom: float,
+        target_ms: int,
         use: Mapping[str, float],
         now_ms: int,
-    ) -> float:
-        """Learn from a report and return the load of the serving task.
+    ) -> None:
+        """Learn from a report.
 
         Parameters
         ----------
-        load : float or None
-            Load after the last report; None before the first.
+        state : TailState
+            State of the reporting task, which is updated.
+        headroom : float
+            Target over tail.
+        target_ms : int
+            Target of the tail, for the precision of the report.
         use : mapping of str to float
             Share of the worker's processors by filling image.
-        now_ms : int
-            Time of the report on the boot clock.
         """
-        floor_ms = self._floor_ms.get(serving, tail_ms)
-        self._floor_ms[serving] = min(floor_ms, tail_ms)
-        level = self.level(serving, tail_ms)
-        added = self.added(serving, use)
-        own = max(0.0, level - added)
-        if load is None:
-            return own
-        error = level - load - added
-        shares = {
-            image: share for image, share in use.items() if share > USE_MIN
-        }
-        squares = sum(share * share for share in shares.values())
-        for image, share in shares.items():
-            key = (serving, image)
-            sample = self._press.mean(key) + error * share / squares
-            self._press.add(
-                key,
-                max(-PRESS_MAX, min(PRESS_MAX, sample)),
-                min(1.0, share / FULL_WEIGHT_USE),
-                now_ms,
+        rounding = ROUNDING_MS * headroom * headroom / max(1, target_ms)
+        noise = HEADROOM_NOISE**2 + rounding * rounding
+        if headroom < SATURATED_HEADROOM:
+            state.saturated_until_ms = now_ms + SATURATED_MS
+            noise = SATURATED_NOISE**2
+        elif now_ms < state.saturated_until_ms:
+            return
+        state.sampled_ms = now_ms
+        curve = self._curve(key, serving)
+        alone = curve.at(now_ms)
+        expected = alone - self.added(serving, use)
+        error = headroom - expected
+        if expected < NEAR_HEADROOM:
+            self._widen(error - OFFSET_WEIGHT * state.offset)
+        if state.saturated_until_ms <= now_ms:
+            own = headroom + self.added(serving, use)
+            doubt = noise + self._doubt(serving, use)
+            curve.add(own, HEADROOM_NOISE**2 / doubt, now_ms)
+            mean = self._mean.get(serving, own)
+            self._mean[serving] = mean + HEADROOM_STEP * (own - mean)
+            state.offset += OFFSET_STEP * (error - state.offset)
+        self._learn_press(serving, use, error, noise, now_ms)
+        if now_ms >= self._search_due_ms:
+            self._search_due_ms = now_ms + PERIOD_SEARCH_INTERVAL_MS
+            self._search_period()
+
+    def forget(self, keep: set[CurveKey]) -> None:
+        """Drop the curves of steps that have ended."""
+        for key in self._curves.keys() - keep:
+            del self._curves[key]
+
+    def _curve(self, key: CurveKey, serving: str) -> LoadCurve:
+        curve = self._curves.get(key)
+        if curve is None:
+            curve = LoadCurve(self._mean.get(serving, HEADROOM_PRIOR))
+            curve.use_period(self._period_ms)
+            self._curves[key] = curve
+        return curve
+
+    def _doubt(self, serving: str, use: Mapping[str, float]) -> float:
+        """Return the variance of what fills takes from the headroom."""
+        doubt = 0.0
+        for image, share in use.items():
+            press = self._press.get((serving, image))
+            variance = PRESS_VARIANCE if press is None else press.variance
+            doubt += variance * share * share
+        return doubt
+
+    def _learn_press(
+        self,
+        serving: str,
+        use: Mapping[str, float],
+        error: float,
+        noise: float,
+        now_ms: int,
+    ) -> None:
+        """Update the press of each pair as by a Kalman filter."""
+        parts: list[tuple[Press, float]] = []
+        total = noise
+        for image, share in use.items():
+            if share < USE_MIN:
+                continue
+            press = self._press.get((serving, image))
+            if press is None:
+                press = Press(PRESS_PRIOR, PRESS_VARIANCE, now_ms)
+                self._press[serving, image] = press
+            elapsed_ms = max(0, now_ms - press.updated_ms)
+            press.variance = min(
+                PRESS_VARIANCE, press.variance + PRESS_DRIFT * elapsed_ms / 1e3
             )
-        load += LOAD_STEP * (own - load)
-        mean = self._mean.get(serving, load)
-        self._mean[serving] = mean + MEAN_STEP * (load - mean)
-        peak = self._peak.get(serving, load)
-        step = PEAK_RISE if load > peak else PEAK_FALL
-        self._peak[serving] = peak + step * (load - peak)
-        return load
+            press.updated_ms = now_ms
+            parts.append((press, share))
+            total += press.variance * share * share
+        for press, share in parts:
+            gain = press.variance * share / total
+            press.mean -= gain * error
+            press.mean = max(0.0, min(PRESS_MAX, press.mean))
+            press.variance = max(
+                PRESS_VARIANCE_MIN, press.variance * (1.0 - gain * share)
+            )
+
+    def _widen(self, error: float) -> None:
+        """Let the margin follow a quantile of errors to the bad side."""
+        step = ERROR_STEP * MARGIN_MAX
+        if -error > self.margin:
+            self.margin += step * ERROR_QUANTILE
+        else:
+            self.margin -= step * (1.0 - ERROR_QUANTILE)
+        self.margin = max(MARGIN_MIN, min(MARGIN_MAX, self.margin))
+
+    def _search_period(self) -> None:
+        period_ms = find_period_ms(self._curves.values())
+        if period_ms is None or period_ms == self._period_ms:
+            return
+        self._period_ms = period_ms
+        for curve in self._curves.values():
+            curve.use_period(period_ms)
+
+
+def headroom_of(target_ms: int, tail_ms: int) -> float:
+    """Return the headroom of a tail: 1 at its target, more below."""
+    return target_ms / max(1, tail_ms)
--- a/testing/dispatch/test_placing.py
+++ b/testing/dispatch/test_placing.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from sardinespool.dispatch.filling import Filling
 from sardinespool.dispatch.placing import Placing
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.tail_model import TailModel
+from sardinespool.dispatch.tail_model import TailState
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.manifest import QueueSpec
@@ -57,15 +59,17 @@
     shunned: set[str] = frozenset(),  # type: ignore[assignment]
 ) -> list[str]:
     """Place all tasks of a step; return the worker of each."""
-    placing = Placing(workers, model or TailModel(), {})
+    filling = Filling(model or TailModel())
+    filling.begin_pass({}, 20_000)
+    placing = Placing(workers, filling)
     places = placing.workers_for(record, False, set(shunned))
     chosen = []
     for task in record.tasks:
         found = next(places, None)
         if found is None:
             break
-        found[0].add_run(RunState(task.key, 1, task, RunPhase.ORDERED, 0))
-        chosen.append(found[0].worker_id)
+        found.add_run(RunState(task.key, 1, task, RunPhase.ORDERED, 0))
+        chosen.append(found.worker_id)
     return chosen
 
 
@@ -115,11 +119,19 @@
 def test_filling_tasks_go_where_they_do_not_press() -> None:
     """Guards against tails over their target by a known bad pair."""
     model = TailModel()
+    states = {"web": TailState(), "api": TailState()}
     for now_ms in range(0, 20_000, 500):
         use = 0.1 if now_ms % 1_000 else 0.0
-        tail_ms = 30.0 if use else 10.0
-        model.observe("web", tail_ms, 0.0, {"heavy": use}, now_ms)
-        model.observe("api", 10.0, 0.0, {"heavy": use}, now_ms)
+        for image, headroom in (("web", 1.2 if use else 2.0), ("api", 2.0)):
+            model.observe(
+                (image, 0, 0),
+                image,
+                states[image],
+                headroom,
+                18,
+                {"heavy": use},
+                now_ms,
+            )
     assert model.press("web", "heavy") > 3 * model.press("api", "heavy")
     workers = [worker("web", 64_000), worker("api", 64_000)]
     for state in workers:
