Serve filling tasks that hardly press first and log faults of worker tasks

Cause: at the peak of a load the room for filling is below zero for a moment, and the pace then halted runs in the order of placement, harmless ones too.

Ruled out: leaving pairs that hardly press out of the pace altogether.

Change: runs are paced in the order of their press, then of placement; one trial of an untried pair at a time on a worker; the tasks of a worker's link log a fault and go on.

--- a/src/sardinespool/dispatch/filling.py
+++ b/src/sardinespool/dispatch/filling.py
@@ -44,6 +44,7 @@
         self._alone: dict[str, tuple[int, int, Rooms]] = {}
         self._demand: Mapping[str, float] = {}
         self._trials: dict[tuple[str, str], int] = {}
+        self._trial_workers: dict[str, int] = {}
         self._hostility: dict[str, float] = {}
         self._now_boot_ms = 0
 
@@ -59,6 +60,8 @@
         """Forget the estimates of other workers."""
         for worker_id in self._alone.keys() - worker_ids:
             del self._alone[worker_id]
+        for worker_id in self._trial_workers.keys() - worker_ids:
+            del self._trial_workers[worker_id]
 
     def suit(
         self, spec: StepSpec, worker: WorkerState, starved: bool
@@ -81,7 +84,7 @@
         hostility = 0.0
         use = worker.declared_use()
         for image, rooms in self._rooms_of(worker):
-            if self._is_on_trial(image, spec.image):
+            if self._is_on_trial(image, spec.image, worker.worker_id):
                 return None
             cost = self._model.press(image, spec.image) * share
             if cost > HARMLESS_PRESS:
@@ -104,14 +107,20 @@
         for image in worker.serving_images:
             if self._model.is_untried(image, spec.image):
                 self._trials[image, spec.image] = self._now_boot_ms
+                self._trial_workers[worker.worker_id] = self._now_boot_ms
 
-    def _is_on_trial(self, serving: str, filling: str) -> bool:
-        """Return whether a start shows soon how a pair of images presses."""
-        started_boot_ms = self._trials.get((serving, filling))
+    def _is_on_trial(self, serving: str, filling: str, worker_id: str) -> bool:
+        """Return whether an untried pair must wait for another trial.
+
+        One start shows the press of a pair, and two on one worker can't be
+        told apart.
+        """
+        if not self._model.is_untried(serving, filling):
+            return False
+        since_boot_ms = self._now_boot_ms - TRIAL_MS
         return (
-            started_boot_ms is not None
-            and self._now_boot_ms - started_boot_ms < TRIAL_MS
-            and self._model.is_untried(serving, filling)
+            self._trials.get((serving, filling), 0) > since_boot_ms
+            or self._trial_workers.get(worker_id, 0) > since_boot_ms
         )
 
     def _rooms_of(self, worker: WorkerState) -> Rooms:
--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -25,9 +25,10 @@
 """Percent from which a run's measured use tells that of its full pace."""
 USE_RESERVE = 1.15
 """Processors that a run may find beyond its last half second."""
-HARMLESS_PRESS = 0.06
-"""Part of the headroom that a task at full pace may take unheeded; the least
-of what pairs that press take is several times as much."""
+
+HARMLESS_PRESS = 0.03
+"""Part of the headroom that a task at full pace may take unheeded: within
+what a tail in whole milliseconds shows."""
 
 Rooms = dict[str, float]
 """Headroom that may be taken by what fills, by serving image."""
@@ -73,8 +74,14 @@
         elapsed_ms = now.boot_ms - worker.pace_changed_boot_ms
         if not filling or elapsed_ms < CHANGE_INTERVAL_MS:
             return
-        # The run that was placed first was the most urgent one then.
-        filling.sort(key=lambda run: run.ordered_boot_ms)
+        # What hardly presses here is served first, since most of it fits; of
+        # the others, the run that was placed first was the most urgent one.
+        filling.sort(
+            key=lambda run: (
+                self._presses_here(run, rooms),
+                run.ordered_boot_ms,
+            )
+        )
         changed = False
         for run in filling:
             changed |= self._grant(worker, run, rooms)
@@ -130,6 +137,12 @@
             room = min(room, taken + measured - least)
         return room
 
+    def _presses_here(self, run: RunState, rooms: Rooms) -> bool:
+        step = run.step
+        return step is not None and any(
+            self._model.presses(image, step.spec.image) for image in rooms
+        )
+
     def _grant(self, worker: WorkerState, run: RunState, rooms: Rooms) -> bool:
         """Set the pace that the rooms allow and take its part of them."""
         step = run.step
@@ -141,10 +154,9 @@
         pace = FULL_PACE
         for image, room in rooms.items():
             cost = self._model.press(image, step.spec.image) * share
-            if cost <= HARMLESS_PRESS:
-                continue
             costs[image] = cost
-            pace = min(pace, int(FULL_PACE * max(0.0, room) / cost))
+            if cost > HARMLESS_PRESS:
+                pace = min(pace, int(FULL_PACE * max(0.0, room) / cost))
         if pace < PACE_MIN:
             pace = 0
         raised = pace - run.pace_wanted
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -26,6 +26,9 @@
 PRESS_DRIFT = 0.02
 """Variance that a second adds to a press, which may change slowly."""
 PRESS_MAX = 30.0
+WEAK_PRESS = 1.5
+"""Press up to which a pair counts as one that does not press; those that do
+stand at 4 and more on the played days."""
 UNTRIED_VARIANCE = 4.0
 """Variance above which a press that halts a worker's filling is possible."""
 HEADROOM_PRIOR = 2.6
@@ -108,6 +111,10 @@
         press = self._press.get((serving, filling))
         return PRESS_PRIOR if press is None else max(0.0, press.mean)
 
+    def presses(self, serving: str, filling: str) -> bool:
+        """Return whether one of a pair's tasks alone takes much headroom."""
+        return self.press(serving, filling) > WEAK_PRESS
+
     def is_untried(self, serving: str, filling: str) -> bool:
         """Return whether hardly anything is known of a pair."""
         press = self._press.get((serving, filling))
--- a/src/sardinespool/programs/controller/worker_links.py
+++ b/src/sardinespool/programs/controller/worker_links.py
@@ -1,16 +1,27 @@
 """Tasks that carry holds and orders to the workers."""
 
 import asyncio
+import functools
+import traceback
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.orders import HoldDone
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.observability.logs import get_logger
 from sardinespool.programs.controller.worker_caller import WorkerCaller
 from sardinespool.transport import system_clock
 
 ORDER_LANES = 2
 """Connections for orders to a worker; one unanswered order stalls one."""
+FAULT_PAUSE_MS = 200
+"""Pause after a fault, so that one that repeats does not fill the log; leases
+are extended well before they end at four tries a second."""
+FAULT_FRAMES = 3
+"""Innermost calls that the log shows of a fault."""
+
+_LOG = get_logger("controller")
 
 
 class WorkerLink:
@@ -49,9 +60,11 @@
         self._plan_soon = plan_soon
         self._hold_due = asyncio.Event()
         self._orders_due = [asyncio.Event() for _ in range(ORDER_LANES)]
-        self._tasks = [asyncio.create_task(self._hold())]
+        self._tasks = [asyncio.create_task(self._keep_up(self._hold))]
         self._tasks += [
-            asyncio.create_task(self._order(lane))
+            asyncio.create_task(
+                self._keep_up(functools.partial(self._order, lane))
+            )
             for lane in range(ORDER_LANES)
         ]
 
@@ -67,6 +80,23 @@
             task.cancel()
         self._caller.forget(self._worker_id)
 
+    async def _keep_up(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of the worker for ever.
+
+        A fault must show in the log and must not leave the worker without
+        holds: its runs would lapse while the process looks sound.
+        """
+        while True:
+            try:
+                await run()
+            except Exception:
+                _LOG.error(
+                    "worker task failed",
+                    worker=self._worker_id,
+                    fault=traceback.format_exc(limit=-FAULT_FRAMES),
+                )
+            await asyncio.sleep(FAULT_PAUSE_MS / 1000)
+
     async def _hold(self) -> None:
         while True:
             now = system_clock.now()
