Place serving tasks image by image and steer filling tasks to rare places

Ruled out: too little processor time (640 of 1,790 cores were left over while 300 tasks waited), and the room that paces leave (184 s over target).

Change: new serving steps wait 0.3 s for others and are placed image by image; mixing costs more the fewer filling images treat both alike; the bonus is the share of waiting tasks that would press, and own press is a penalty.

--- a/src/sardinespool/dispatch/filling.py
+++ b/src/sardinespool/dispatch/filling.py
@@ -22,9 +22,11 @@
 TRIAL_MS = 1_200
 """Time in which one start of an untried pair must show its press: two
 reports of the tail."""
-HOSTILE_BONUS = 0.2
-"""Speed that a task gives up, for each unit of headroom that other waiting
-tasks would take there, for a worker that these can't use."""
+HOSTILE_BONUS = 0.3
+"""Speed that a task gives up for a worker that no other waiting task can use
+without pressing on what serves there."""
+PRESS_PENALTY = 0.5
+"""Speed that a unit of headroom counts as which a task takes."""
 
 Rooms = Sequence[tuple[str, Sequence[float]]]
 """Headroom of each serving image at the times of `AHEAD_MS`."""
@@ -82,12 +84,14 @@
         share = size / whole
         speeds = [1.0] * len(AHEAD_MS)
         hostility = 0.0
+        worst = 0.0
         use = worker.declared_use()
         for image, rooms in self._rooms_of(worker):
             if self._is_on_trial(image, spec.image, worker.worker_id):
                 return None
             cost = self._model.press(image, spec.image) * share
             if cost > HARMLESS_PRESS:
+                worst = max(worst, cost)
                 taken = self._model.added(image, use)
                 # A run works at full pace until the first change arrives,
                 # and a tail shows the worst part of its half second.
@@ -100,7 +104,14 @@
         speed = found * sum(speeds) / len(speeds)
         if speed < least:
             return None
-        return speed + HOSTILE_BONUS * hostility
+        return speed + HOSTILE_BONUS * hostility - PRESS_PENALTY * worst
+
+    def dissimilarity(self, first: str, second: str) -> float:
+        """Return the share of filling images that press on one of two only.
+
+        Half is expected of serving images of which nothing is known.
+        """
+        return self._model.dissimilarity(first, second)
 
     def chosen(self, spec: StepSpec, worker: WorkerState) -> None:
         """Note a start, which tries the pairs of which nothing is known."""
@@ -158,8 +169,13 @@
         return found
 
     def _hostility_of(self, serving: str) -> float:
+        """Return the share of the waiting tasks that press on an image."""
         hostility = self._hostility.get(serving)
         if hostility is None:
-            hostility = self._model.added(serving, self._demand)
+            hostility = sum(
+                share
+                for image, share in self._demand.items()
+                if self._model.presses(serving, image)
+            )
             self._hostility[serving] = hostility
         return hostility
--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -14,9 +14,11 @@
 """The tasks of one job have their peaks of load at the same time, those of
 different jobs leave the room of the least for what fills beside them."""
 SAME_IMAGE_BONUS = 0.5
-OTHER_IMAGE_PENALTY = 0.8
+OTHER_IMAGE_PENALTY = 0.4
+UNLIKE_IMAGE_PENALTY = 0.8
 """Serving images are kept apart, so that each filling image finds workers
-whose serving images it does not press on."""
+whose serving images it does not press on; the more so, the fewer filling
+images treat both alike."""
 LAST_PLACES_MIN = 2
 """Places that must be left for a long-running task to take one.
 
@@ -128,7 +130,7 @@
                 return None
             score = found
         elif spec.tail_latency_target_ms:
-            score = _serving_score(step, worker, whole)
+            score = self._serving_score(step, worker, whole)
         else:
             score = worker.free_millicores / whole
         if spec.data_rack and spec.data_rack not in labels:
@@ -137,6 +139,27 @@
             score -= SHUNNED_PENALTY
         return score
 
+    def _serving_score(
+        self, step: StepRecord, worker: WorkerState, whole: int
+    ) -> float:
+        spec = step.spec
+        # The fullest worker first, so that less room is left in pieces.
+        score = -worker.free_millicores / whole
+        for image in worker.serving_images:
+            if image == spec.image:
+                score += SAME_IMAGE_BONUS
+            else:
+                unlike = self._filling.dissimilarity(image, spec.image)
+                score -= OTHER_IMAGE_PENALTY + UNLIKE_IMAGE_PENALTY * unlike
+        jobs = {
+            run.step.workflow.job_id
+            for run in worker.runs.values()
+            if run.step is not None and run.step.spec.tail_latency_target_ms
+        }
+        if step.workflow.job_id in jobs:
+            return score + SAME_JOB_BONUS
+        return score - OTHER_JOB_PENALTY * len(jobs)
+
 
 def tasks_of_step(worker: WorkerState, step: StepRecord) -> int:
     """Return the runs of a step's tasks on a worker."""
@@ -149,22 +172,3 @@
         run.step is not None and not run.step.spec.long_running
         for run in worker.runs.values()
     )
-
-
-def _serving_score(step: StepRecord, worker: WorkerState, whole: int) -> float:
-    spec = step.spec
-    # The fullest worker first, so that less room is left in pieces.
-    score = -worker.free_millicores / whole
-    for image in worker.serving_images:
-        if image == spec.image:
-            score += SAME_IMAGE_BONUS
-        else:
-            score -= OTHER_IMAGE_PENALTY
-    jobs = {
-        run.step.workflow.job_id
-        for run in worker.runs.values()
-        if run.step is not None and run.step.spec.tail_latency_target_ms
-    }
-    if step.workflow.job_id in jobs:
-        return score + SAME_JOB_BONUS
-    return score - OTHER_JOB_PENALTY * len(jobs)
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -24,6 +24,9 @@
 STARTS_IN_PASS_MAX = 400
 """Bounds the time of one pass; the rest follows in the next one."""
 
+SERVING_COLLECTION_MS = 300
+"""Wait of a new serving step for others that come with it; such tasks work
+for a minute and more."""
 STARVED_WAIT_MS = 1_500
 """Wait after which a step of which nothing runs starts anywhere."""
 STARVED_RESERVED_MAX = 0.6
@@ -136,6 +139,9 @@
                 break
             queue = self._machine.queue_of(step.workflow)
             placing = places.get(queue.pool)
+            if self._is_collected(step, now):
+                left = True
+                continue
             if placing is not None and (
                 not step.spec.uses_leftover_processors
                 or (fills and not self._is_hopeless(step, no_room, now))
@@ -234,6 +240,18 @@
                 ):
                     control.stop_run(worker, run, "slowed for long")
 
+    def _is_collected(self, step: StepRecord, now: Instant) -> bool:
+        """Return whether a new serving step waits for others of its image.
+
+        Jobs that come together are placed image by image.
+        """
+        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
+        return (
+            bool(step.spec.tail_latency_target_ms)
+            and now.boot_ms - since_boot_ms < SERVING_COLLECTION_MS
+            and not any(task.run for task in step.tasks)
+        )
+
     def _is_hopeless(
         self, step: StepRecord, no_room: dict[str, int], now: Instant
     ) -> bool:
@@ -256,9 +274,11 @@
 
     def _urgency(
         self, step: StepRecord, now: Instant
-    ) -> tuple[int, bool, int, int, str, int]:
+    ) -> tuple[int, bool, str, int, int, str, int]:
         """Return a sort key: priority, then the time until it is late.
 
+        Serving tasks are placed image by image, which keeps images apart.
+
         Jobs that are late already follow those that can be in time, and
         those that are too late for both come last.
         """
@@ -277,6 +297,7 @@
             queue.priority,
             # A long-running task can wait for the end of a short one.
             step.spec.long_running,
+            step.spec.image if step.spec.long_running else "",
             lateness,
             objective_ms - age_ms,
             workflow.job_id,
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -120,6 +120,20 @@
         press = self._press.get((serving, filling))
         return press is None or press.variance > UNTRIED_VARIANCE
 
+    def dissimilarity(self, first: str, second: str) -> float:
+        """Return the share of filling images that press on one of two only."""
+        known = unlike = 0
+        for serving, filling in self._press:
+            if serving == first and not (
+                self.is_untried(first, filling)
+                or self.is_untried(second, filling)
+            ):
+                known += 1
+                unlike += self.presses(first, filling) != self.presses(
+                    second, filling
+                )
+        return (unlike + 1) / (known + 2)
+
     def added(self, serving: str, use: Mapping[str, float]) -> float:
         """Return what filling images take from a serving image's headroom.
 
