Hand what a leader learned of images to the next one

Ruled out: learning faster by more trials at once; trials of one image on several workers were what pressed most.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -155,9 +155,12 @@
         return result
 
     def tick(self, now: Instant) -> list[CommandBody]:
-        """Return the command of the next planning pass."""
-        command = self._dispatcher.plan(now)
-        return [] if command is None else [command]
+        """Return the commands of the next planning pass."""
+        commands = (
+            self._dispatcher.plan(now),
+            self._dispatcher.estimates_due(now),
+        )
+        return [command for command in commands if command is not None]
 
     def applied(self, body: CommandBody, result: Reply, now: Instant) -> None:
         """Follow a planning pass that was committed."""
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.fleet import ReportWorker
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.workflows import RecordRuns
@@ -29,6 +30,10 @@
 from sardinespool.messages.workflows import RunsRecorded
 from sardinespool.observability.logs import get_logger
 
+ESTIMATES_INTERVAL_MS = 5_000
+"""Pause between records of what was learned; a leader that has to learn all
+pairs again presses on serving tasks for about ten seconds."""
+
 _LOG = get_logger("dispatch")
 
 
@@ -64,7 +69,8 @@
         self._settings = settings
         self._wake = wake
         self.fleet = Fleet(machine, settings, self.end_run)
-        model = TailModel()
+        self._model = model = TailModel()
+        self._estimates_due_boot_ms = 0
         self._health = Health()
         self._answers = AnswerHandler(
             self.fleet, settings, Pacing(model), self._health, self
@@ -91,6 +97,8 @@
         self._reset()
         self.orders.fencing_token = fencing_token
         self.orders.fenced = False
+        self._model.restore(self._machine.estimates, now.boot_ms)
+        self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
         self.fleet.begin(now)
         for worker_id in self.fleet.workers:
             self._wake(worker_id)
@@ -263,6 +271,16 @@
         )
         return self._proposed
 
+    def estimates_due(self, now: Instant) -> RecordEstimates | None:
+        """Return what the next leader shall know, None if it is known."""
+        if now.boot_ms < self._estimates_due_boot_ms:
+            return None
+        self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
+        estimates = self._model.estimates()
+        if not estimates.presses or estimates == self._machine.estimates:
+            return None
+        return estimates
+
     def recorded(self, result: RunsRecorded, now: Instant) -> None:
         """Follow the command of `plan`, which was committed."""
         command = self._proposed
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -14,6 +14,8 @@
 
 from sardinespool.dispatch.load_curve import find_period_ms
 from sardinespool.dispatch.load_curve import LoadCurve
+from sardinespool.messages.estimates import PressEstimate
+from sardinespool.messages.estimates import RecordEstimates
 
 CurveKey = tuple[str, int, int]
 """Job, occurrence and step whose tasks share their swings of load."""
@@ -26,6 +28,8 @@
 PRESS_DRIFT = 0.02
 """Variance that a second adds to a press, which may change slowly."""
 PRESS_MAX = 30.0
+PRESS_DIGITS = 2
+"""Decimals of a press that are stored."""
 WEAK_PRESS = 1.5
 """Press up to which a pair counts as one that does not press; those that do
 stand at 4 and more on the played days."""
@@ -106,6 +110,33 @@
         self._search_due_ms = 0
         self.margin = MARGIN_MAX
 
+    def restore(self, estimates: RecordEstimates | None, now_ms: int) -> None:
+        """Begin with what another leader learned."""
+        if estimates is None:
+            return
+        self._period_ms = estimates.period_ms
+        for curve in self._curves.values():
+            curve.use_period(self._period_ms)
+        for item in estimates.presses:
+            self._press[item.serving, item.filling] = Press(
+                item.press, item.variance, now_ms
+            )
+
+    def estimates(self) -> RecordEstimates:
+        """Return what another leader can begin with."""
+        return RecordEstimates(
+            period_ms=self._period_ms,
+            presses=tuple(
+                PressEstimate(
+                    serving=serving,
+                    filling=filling,
+                    press=round(press.mean, PRESS_DIGITS),
+                    variance=round(press.variance, PRESS_DIGITS),
+                )
+                for (serving, filling), press in self._press.items()
+            ),
+        )
+
     def press(self, serving: str, filling: str) -> float:
         """Return the press of a pair for a whole worker of use."""
         press = self._press.get((serving, filling))
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -8,6 +8,7 @@
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.commands import Command
 from sardinespool.messages.commands import FormGroup
+from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.fleet import DropWorker
 from sardinespool.messages.fleet import PutWorker
 from sardinespool.messages.fleet import WorkerDescription
@@ -40,6 +41,8 @@
         Failure domains whose workers get nothing more.
     workers : dict of str to WorkerDescription
         The newest known life of each worker.
+    estimates : RecordEstimates or None
+        What the last leaders learned of images.
     """
 
     def __init__(self) -> None:
@@ -48,6 +51,7 @@
         self.table = WorkflowTable()
         self.evacuated: set[str] = set()
         self.workers: dict[str, WorkerDescription] = {}
+        self.estimates: RecordEstimates | None = None
 
     def queue_of(self, workflow: WorkflowRecord) -> QueueSpec:
         """Return the queue of a job as the version in force has it."""
@@ -84,6 +88,8 @@
                 known = self.workers.get(body.worker_id)
                 if known is not None and known.life == body.life:
                     del self.workers[body.worker_id]
+            case RecordEstimates() as body:
+                self.estimates = body
             case FormGroup(group_incarnation=incarnation):
                 self.group_incarnation = self.group_incarnation or incarnation
             case _:
@@ -103,6 +109,7 @@
                 manifest=self.manifest.current,
                 evacuated=tuple(sorted(self.evacuated)),
                 workers=tuple(self.workers.values()),
+                estimates=self.estimates,
                 workflows=tuple(
                     image_of(item) for item in self.table.workflows.values()
                 ),
@@ -117,6 +124,7 @@
         if image.manifest is not None:
             self.manifest.put(image.manifest)
         self.evacuated = set(image.evacuated)
+        self.estimates = image.estimates
         self.workers = {item.worker_id: item for item in image.workers}
         self.table = WorkflowTable()
         self.table.workflows = {
--- a/src/sardinespool/messages/commands.py
+++ b/src/sardinespool/messages/commands.py
@@ -11,6 +11,7 @@
 from sardinespool.messages.configuration import Configuration
 from sardinespool.messages.configuration import RejectPatch
 from sardinespool.messages.configuration import SubmitPatch
+from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.fleet import DropWorker
 from sardinespool.messages.fleet import PutWorker
 from sardinespool.messages.jobs import CancelJob
@@ -132,6 +133,7 @@
     | SetEvacuation
     | PutWorker
     | DropWorker
+    | RecordEstimates
 )
 
 
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
@@ -44,6 +45,7 @@
     evacuated: tuple[str, ...]
     workers: tuple[WorkerDescription, ...]
     workflows: tuple[WorkflowImage, ...]
+    estimates: RecordEstimates | None = None
 
 
 _DECODER = msgspec.msgpack.Decoder(ControlImage)
--- a/testing/dispatch/test_tail_model.py
+++ b/testing/dispatch/test_tail_model.py
@@ -5,9 +5,18 @@
 
 import pytest
 
+from sardinespool.clock import Instant
+from sardinespool.dispatch.control_service import ControlService
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.tail_model import headroom_of
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.tail_model import TailState
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.commands import Command
+from sardinespool.messages.estimates import RecordEstimates
+from sardinespool.observability.metrics import Metrics
 
 TARGET_MS = 18
 
@@ -75,3 +84,38 @@
     model.forget(set())
     fresh = model.headroom(("job", 0, 0), "web", state, 20_000)
     assert fresh == model.headroom(("job", 1, 0), "web", None, 20_000)
+
+
+def test_next_leader_begins_with_what_was_learned() -> None:
+    """Guards against a leader that tries each pair of images again."""
+    model = TailModel()
+    report(model, {"heavy": 9.0, "light": 0.3}, 60_000)
+    service = leader_with(model)
+    command = service.tick(Instant(70_000, 70_000))
+    assert [type(item) for item in command] == [RecordEstimates]
+    machine = ControlMachine()
+    machine.apply(Command(proposed_unix_ms=0, body=command[0]), 1)
+    restored = ControlMachine()
+    restored.restore(machine.snapshot())
+    follower = TailModel()
+    follower.restore(restored.estimates, 1_000)
+    for image in ("heavy", "light"):
+        assert follower.press("web", image) == pytest.approx(
+            model.press("web", image), abs=0.01
+        )
+        assert not follower.is_untried("web", image)
+
+
+def leader_with(model: TailModel) -> ControlService:
+    """Return the service of a leader that learned a model."""
+    machine = ControlMachine()
+    dispatcher = Dispatcher(
+        machine,
+        DispatchSettings(),
+        lambda worker_id: None,
+        DispatchMetrics(Metrics("controller", "a")),
+    )
+    machine.estimates = model.estimates()
+    dispatcher.begin(1, Instant(60_000, 60_000))
+    machine.estimates = None
+    return ControlService(machine, dispatcher, lambda: pytest.fail("unused"))
