--- a/src/sardinespool/dispatch/placing.py
+++ b/src/sardinespool/dispatch/placing.py
@@ -68,7 +68,7 @@
         spec = step.spec
         heap: list[tuple[float, int, WorkerState]] = []
         for position, worker in enumerate(self._workers):
-            score = self._suit(step, worker, starved, shunned)
+            score = self.suit(step, worker, starved, shunned)
             if score is not None:
                 heap.append((-score, position, worker))
         heapq.heapify(heap)
@@ -80,12 +80,12 @@
             _, position, worker = heapq.heappop(heap)
             if spec.uses_leftover_processors:
                 # An earlier task of the step may have changed the score.
-                score = self._suit(step, worker, starved, shunned)
+                score = self.suit(step, worker, starved, shunned)
                 if score is None:
                     continue
                 self._filling.chosen(spec, worker)
             yield worker
-            score = self._suit(step, worker, starved, shunned)
+            score = self.suit(step, worker, starved, shunned)
             if score is not None:
                 heapq.heappush(heap, (-score, position, worker))
 
@@ -103,7 +103,7 @@
                 break
         return places
 
-    def _suit(
+    def suit(
         self,
         step: StepRecord,
         worker: WorkerState,
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -40,6 +40,12 @@
 RESTART_PERCENT_MAX = 30
 """Progress above which a run without checkpoints stays where it is."""
 
+MOVE_SCORE_MIN = 0.7
+"""Score of another worker from which a slowed run moves there."""
+MOVES_IN_PASS_MAX = 2
+"""The places found are not reserved, so that few runs may count on them."""
+RELIEVE_INTERVAL_MS = 200
+
 IDLE_PASS_INTERVAL_MS = 100
 """Pause after a pass that found no room, unless room becomes free; tails and
 paces change within half a second."""
@@ -85,6 +91,7 @@
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._fill_due_boot_ms = 0
+        self._relieve_due_boot_ms = 0
         self._waiting_since: dict[tuple[str, int, int], int] = {}
 
     def reset(self) -> None:
@@ -92,6 +99,7 @@
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._fill_due_boot_ms = 0
+        self._relieve_due_boot_ms = 0
         self._waiting_since.clear()
 
     def look_again(self) -> None:
@@ -216,30 +224,73 @@
     def relieve(self, now: Instant, control: StopRuns) -> None:
         """Take filling tasks away that have been slowed for long.
 
-        Another worker may serve images that they don't press on.
+        Only where another worker promises more: a peak of load passes, and
+        a move costs about a second.
         """
+        if now.boot_ms < self._relieve_due_boot_ms:
+            return
+        self._relieve_due_boot_ms = now.boot_ms + RELIEVE_INTERVAL_MS
+        self._filling.begin_pass(
+            filling_demand(self._machine.table.ready.values()), now.boot_ms
+        )
+        moves = 0
         for worker in self._fleet.workers.values():
             if not worker.serving_images:
                 continue
             for run in list(worker.runs.values()):
-                step = run.step
                 if (
-                    step is None
-                    or run.phase is not RunPhase.RUNNING
-                    or not step.spec.uses_leftover_processors
-                ):
-                    continue
-                if run.pace_wanted > SLOWED_PACE:
-                    run.slowed_boot_ms = None
-                elif run.slowed_boot_ms is None:
-                    run.slowed_boot_ms = now.boot_ms
-                elif now.boot_ms - run.slowed_boot_ms > SLOWED_MS and (
-                    run.percent < MOVE_PERCENT_MAX
-                    if step.spec.checkpointing
-                    else run.percent < RESTART_PERCENT_MAX
+                    moves < MOVES_IN_PASS_MAX
+                    and self._is_slowed(run, now)
+                    and self._is_better_elsewhere(run, worker, now)
                 ):
+                    moves += 1
                     control.stop_run(worker, run, "slowed for long")
 
+    def _is_slowed(self, run: RunState, now: Instant) -> bool:
+        """Return whether a filling run has been slowed for long."""
+        step = run.step
+        if (
+            step is None
+            or run.phase is not RunPhase.RUNNING
+            or run.stop_wanted
+            or not step.spec.uses_leftover_processors
+        ):
+            return False
+        if run.pace_wanted > SLOWED_PACE:
+            run.slowed_boot_ms = None
+            return False
+        if run.slowed_boot_ms is None:
+            run.slowed_boot_ms = now.boot_ms
+        percent_max = (
+            MOVE_PERCENT_MAX
+            if step.spec.checkpointing
+            else RESTART_PERCENT_MAX
+        )
+        return (
+            now.boot_ms - run.slowed_boot_ms > SLOWED_MS
+            and run.percent < percent_max
+        )
+
+    def _is_better_elsewhere(
+        self, run: RunState, worker: WorkerState, now: Instant
+    ) -> bool:
+        """Return whether another worker would let a run work fast."""
+        step = run.step
+        if step is None:
+            return False
+        placing = Placing((), self._filling)
+        for other in self._fleet.workers.values():
+            if (
+                other is worker
+                or other.description.pool != worker.description.pool
+                or not self._fleet.takes_starts(other, now)
+            ):
+                continue
+            score = placing.suit(step, other, False, set())
+            if score is not None and score >= MOVE_SCORE_MIN:
+                return True
+        return False
+
     def _is_collected(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a new serving step waits for others of its image.
 
