Place half of each long-running job before the rest of any

Change: long-running steps come twice in a pass, the first time for half of their tasks. The moves have a module of their own.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -253,7 +253,7 @@
             return self._proposed
         self._answers.expire_leases(now)
         self._planner.keep_up(now, self)
-        self._planner.relieve(now, self)
+        self._planner.relief.relieve(now, self)
         ends, self._ends = tuple(self._ends), []
         self._ended_in_commit, self._ended_runs = self._ended_runs, []
         self._listed_in_commit, self._ends_listed = self._ends_listed, []
--- a/src/sardinespool/dispatch/filling.py
+++ b/src/sardinespool/dispatch/filling.py
@@ -1,5 +1,6 @@
 """Workers for tasks that use what the others leave."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -7,6 +8,7 @@
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
+from sardinespool.workflows.records import StepRecord
 
 AHEAD_MS = (300, 1_000, 1_700, 2_400)
 """Times at which a task's pace is estimated: the tasks of the users' sheets
@@ -179,3 +181,14 @@
             )
             self._hostility[serving] = hostility
         return hostility
+
+
+def filling_demand(steps: Iterable[StepRecord]) -> dict[str, float]:
+    """Return the share of the waiting filling tasks by image."""
+    waiting: dict[str, float] = {}
+    for step in steps:
+        if step.spec.uses_leftover_processors:
+            image = step.spec.image
+            waiting[image] = waiting.get(image, 0.0) + len(step.waiting)
+    total = sum(waiting.values())
+    return {image: count / total for image, count in waiting.items()}
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -1,13 +1,16 @@
 """Which ready tasks start now, and where."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
+from collections.abc import Iterator
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.filling import Filling
+from sardinespool.dispatch.filling import filling_demand
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import Health
 from sardinespool.dispatch.health import StopRuns
 from sardinespool.dispatch.placing import Placing
+from sardinespool.dispatch.relief import Relief
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
@@ -32,20 +35,6 @@
 STARVED_RESERVED_MAX = 0.6
 """Share of the processors in reservation above which steps may wait longer
 for a worker on which they press on nothing."""
-SLOWED_PACE = 30
-"""Percent below which a filling run had better go elsewhere."""
-SLOWED_MS = 1_200
-"""Two changes of pace; a shorter swing is waited out."""
-MOVE_PERCENT_MAX = 90
-RESTART_PERCENT_MAX = 30
-"""Progress above which a run without checkpoints stays where it is."""
-
-MOVE_SCORE_MIN = 0.7
-"""Score of another worker from which a slowed run moves there."""
-MOVES_IN_PASS_MAX = 2
-"""The places found are not reserved, so that few runs may count on them."""
-RELIEVE_INTERVAL_MS = 200
-
 IDLE_PASS_INTERVAL_MS = 100
 """Pause after a pass that found no room, unless room becomes free; tails and
 paces change within half a second."""
@@ -72,6 +61,11 @@
         Press of filling images on serving ones.
     health : Health
         Knows the workers on which tasks failed.
+
+    Attributes
+    ----------
+    relief : Relief
+        Moves slowed filling tasks.
     """
 
     def __init__(
@@ -85,13 +79,13 @@
         self._health = health
         self._model = model
         self._filling = Filling(model)
+        self.relief = Relief(machine, fleet, self._filling)
         self._machine = machine
         self._fleet = fleet
         self._settings = settings
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._fill_due_boot_ms = 0
-        self._relieve_due_boot_ms = 0
         self._waiting_since: dict[tuple[str, int, int], int] = {}
 
     def reset(self) -> None:
@@ -99,7 +93,6 @@
         self._forget_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._fill_due_boot_ms = 0
-        self._relieve_due_boot_ms = 0
         self._waiting_since.clear()
 
     def look_again(self) -> None:
@@ -140,9 +133,8 @@
         planned: Planned = []
         left = False
         no_room: dict[str, int] = {}
-        for step in sorted(
-            ready.values(), key=lambda step: self._urgency(step, now)
-        ):
+        placed: set[str] = set()
+        for step, tasks_max in self._rounds(ready.values(), now):
             if len(planned) >= STARTS_IN_PASS_MAX:
                 break
             queue = self._machine.queue_of(step.workflow)
@@ -154,7 +146,9 @@
                 not step.spec.uses_leftover_processors
                 or (fills and not self._is_hopeless(step, no_room, now))
             ):
-                planned += self._place_step(step, placing, now)
+                found = self._place_step(step, placing, tasks_max, placed, now)
+                placed.update(run.task_key for _, run in found)
+                planned += found
                 if step.waiting and step.spec.uses_leftover_processors:
                     no_room[step.spec.image] = step.spec.processors_millicores
             left = left or bool(step.waiting)
@@ -221,76 +215,6 @@
                 ):
                     control.stop_run(worker, run, "worker drains")
 
-    def relieve(self, now: Instant, control: StopRuns) -> None:
-        """Take filling tasks away that have been slowed for long.
-
-        Only where another worker promises more: a peak of load passes, and
-        a move costs about a second.
-        """
-        if now.boot_ms < self._relieve_due_boot_ms:
-            return
-        self._relieve_due_boot_ms = now.boot_ms + RELIEVE_INTERVAL_MS
-        self._filling.begin_pass(
-            filling_demand(self._machine.table.ready.values()), now.boot_ms
-        )
-        moves = 0
-        for worker in self._fleet.workers.values():
-            if not worker.serving_images:
-                continue
-            for run in list(worker.runs.values()):
-                if (
-                    moves < MOVES_IN_PASS_MAX
-                    and self._is_slowed(run, now)
-                    and self._is_better_elsewhere(run, worker, now)
-                ):
-                    moves += 1
-                    control.stop_run(worker, run, "slowed for long")
-
-    def _is_slowed(self, run: RunState, now: Instant) -> bool:
-        """Return whether a filling run has been slowed for long."""
-        step = run.step
-        if (
-            step is None
-            or run.phase is not RunPhase.RUNNING
-            or run.stop_wanted
-            or not step.spec.uses_leftover_processors
-        ):
-            return False
-        if run.pace_wanted > SLOWED_PACE:
-            run.slowed_boot_ms = None
-            return False
-        if run.slowed_boot_ms is None:
-            run.slowed_boot_ms = now.boot_ms
-        percent_max = (
-            MOVE_PERCENT_MAX
-            if step.spec.checkpointing
-            else RESTART_PERCENT_MAX
-        )
-        return (
-            now.boot_ms - run.slowed_boot_ms > SLOWED_MS
-            and run.percent < percent_max
-        )
-
-    def _is_better_elsewhere(
-        self, run: RunState, worker: WorkerState, now: Instant
-    ) -> bool:
-        """Return whether another worker would let a run work fast."""
-        step = run.step
-        if step is None:
-            return False
-        placing = Placing((), self._filling)
-        for other in self._fleet.workers.values():
-            if (
-                other is worker
-                or other.description.pool != worker.description.pool
-                or not self._fleet.takes_starts(other, now)
-            ):
-                continue
-            score = placing.suit(step, other, False, set())
-            if score is not None and score >= MOVE_SCORE_MIN:
-                return True
-        return False
-
     def _is_collected(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a new serving step waits for others of its image.
 
@@ -323,9 +247,30 @@
             and self._fleet.reserved_share() < STARVED_RESERVED_MAX
         )
 
+    def _rounds(
+        self, steps: Collection[StepRecord], now: Instant
+    ) -> Iterator[tuple[StepRecord, int]]:
+        """Yield steps in the order of placement, with a bound on their tasks.
+
+        Long-running steps come twice: each gets half of its tasks before any
+        gets the rest, since a job is better served in part than not at all.
+        """
+        entries = [
+            (self._urgency(step, now, 0), step, first_tasks(step))
+            for step in steps
+        ]
+        entries += [
+            (self._urgency(step, now, 1), step, step.spec.count)
+            for step in steps
+            if first_tasks(step) < step.spec.count
+        ]
+        entries.sort(key=lambda entry: entry[0])
+        for _, step, tasks_max in entries:
+            yield step, tasks_max
+
     def _urgency(
-        self, step: StepRecord, now: Instant
-    ) -> tuple[int, bool, str, int, int, str, int]:
+        self, step: StepRecord, now: Instant, round_: int
+    ) -> tuple[int, bool, int, str, int, int, str, int]:
         """Return a sort key: priority, then the time until it is late.
 
         Serving tasks are placed image by image, which keeps images apart.
@@ -348,6 +293,7 @@
             queue.priority,
             # A long-running task can wait for the end of a short one.
             step.spec.long_running,
+            round_,
             step.spec.image if step.spec.long_running else "",
             lateness,
             objective_ms - age_ms,
@@ -356,16 +302,30 @@
         )
 
     def _place_step(
-        self, step: StepRecord, placing: Placing, now: Instant
+        self,
+        step: StepRecord,
+        placing: Placing,
+        tasks_max: int,
+        placed: set[str],
+        now: Instant,
     ) -> Planned:
+        """Place tasks of a step until `tasks_max` of them have a worker."""
         planned: Planned = []
+        waiting = [
+            index
+            for index in sorted(step.waiting)
+            if step.tasks[index].key not in placed
+        ]
+        room = tasks_max - (step.spec.count - len(waiting))
+        if room <= 0:
+            return []
         gang_run = max((task.run for task in step.tasks), default=0) + 1
         workers = placing.workers_for(
             step,
             self._is_starved(step, now),
             self._health.shunned(step.key),
         )
-        for index in sorted(step.waiting):
+        for index in waiting[:room]:
             worker = next(workers, None)
             if worker is None:
                 break
@@ -384,12 +344,9 @@
         return planned
 
 
-def filling_demand(steps: Iterable[StepRecord]) -> dict[str, float]:
-    """Return the share of the waiting filling tasks by image."""
-    waiting: dict[str, float] = {}
-    for step in steps:
-        if step.spec.uses_leftover_processors:
-            image = step.spec.image
-            waiting[image] = waiting.get(image, 0.0) + len(step.waiting)
-    total = sum(waiting.values())
-    return {image: count / total for image, count in waiting.items()}
+def first_tasks(step: StepRecord) -> int:
+    """Return how many tasks of a step are placed in the first round."""
+    count = step.spec.count
+    if step.spec.long_running and not step.spec.gang:
+        return (count + 1) // 2
+    return count
