Log changes of pace, the period of load and estimates taken over

Cause: a filling task that was slowed showed in the log only with its end, and nothing said which serving image had bound it.

Change: one line a change of pace with the image that bound it, its room, the cost at full pace and the margin; one line when the period of load is found or changes, and when a leader takes estimates over. Bounded as all events are.

--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -7,6 +7,7 @@
 from sardinespool.dispatch.tail_model import headroom_of
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
+from sardinespool.observability.logs import get_logger
 
 HORIZONS_MS = (200, 650, 1_100)
 """Times at which a pace must leave the tails below their targets: it takes
@@ -30,6 +31,8 @@
 """Part of the headroom that a task at full pace may take unheeded: within
 what a tail in whole milliseconds shows."""
 
+_LOG = get_logger("dispatch")
+
 Rooms = dict[str, float]
 """Headroom that may be taken by what fills, by serving image."""
 
@@ -152,16 +155,33 @@
         share = _full_use(run) / whole
         costs: dict[str, float] = {}
         pace = FULL_PACE
+        binding = ""
         for image, room in rooms.items():
             cost = self._model.press(image, step.spec.image) * share
             costs[image] = cost
             if cost > HARMLESS_PRESS:
-                pace = min(pace, int(FULL_PACE * max(0.0, room) / cost))
+                allowed = int(FULL_PACE * max(0.0, room) / cost)
+                if allowed < pace:
+                    pace, binding = allowed, image
         if pace < PACE_MIN:
             pace = 0
         raised = pace - run.pace_wanted
         if 0 < raised < PACE_CHANGE_MIN and pace < FULL_PACE:
             pace = run.pace_wanted
+        if pace != run.pace_wanted:
+            _LOG.info(
+                "pace",
+                task=run.task_key,
+                run=run.run,
+                worker=worker.worker_id,
+                percent=pace,
+                earlier_percent=run.pace_wanted,
+                image=step.spec.image,
+                beside=binding,
+                room=round(rooms.get(binding, 0.0), 2),
+                cost=round(costs.get(binding, 0.0), 2),
+                margin=round(self._model.margin, 2),
+            )
         for image, cost in costs.items():
             rooms[image] -= cost * pace / FULL_PACE
         return _set_pace(worker, run, pace)
--- a/src/sardinespool/dispatch/tail_model.py
+++ b/src/sardinespool/dispatch/tail_model.py
@@ -16,6 +16,7 @@
 from sardinespool.dispatch.load_curve import LoadCurve
 from sardinespool.messages.estimates import PressEstimate
 from sardinespool.messages.estimates import RecordEstimates
+from sardinespool.observability.logs import get_logger
 
 CurveKey = tuple[str, int, int]
 """Job, occurrence and step whose tasks share their swings of load."""
@@ -68,6 +69,9 @@
 since tails are rounded."""
 
 
+_LOG = get_logger("dispatch")
+
+
 @dataclasses.dataclass(slots=True)
 class Press:
     """Estimate of one pair."""
@@ -114,6 +118,11 @@
         """Begin with what another leader learned."""
         if estimates is None:
             return
+        _LOG.info(
+            "estimates taken over",
+            period_ms=estimates.period_ms,
+            pairs=len(estimates.presses),
+        )
         self._period_ms = estimates.period_ms
         for curve in self._curves.values():
             curve.use_period(self._period_ms)
@@ -308,6 +317,12 @@
         period_ms = find_period_ms(self._curves.values())
         if period_ms is None or period_ms == self._period_ms:
             return
+        _LOG.info(
+            "period of load",
+            period_ms=period_ms,
+            earlier_period_ms=self._period_ms,
+            curves=len(self._curves),
+        )
         self._period_ms = period_ms
         for curve in self._curves.values():
             curve.use_period(period_ms)
