Count the declared use of a filling run in its first second

Cause: a run that started after the half second of the list shows a use of 0. The pace took that for its use at full speed, so that runs that had just started cost nothing and were not slowed with the first list.

Change: a measured use counts from an age of a second on, and as a quarter of the declared one at least.

--- a/src/sardinespool/dispatch/pacing.py
+++ b/src/sardinespool/dispatch/pacing.py
@@ -24,6 +24,10 @@
 """Smaller raises are not worth a call."""
 MEASURED_PACE_MIN = 30
 """Percent from which a run's measured use tells that of its full pace."""
+MEASURED_AGE_MS = 1_000
+"""Age of a run from which its measured use covers a whole half second."""
+USE_SHARE_MIN = 0.25
+"""Least share of the declared processors that a run is taken to find."""
 USE_RESERVE = 1.15
 """Processors that a run may find beyond its last half second."""
 
@@ -87,7 +91,7 @@
         )
         changed = False
         for run in filling:
-            changed |= self._grant(worker, run, rooms)
+            changed |= self._grant(worker, run, rooms, now)
         if changed:
             worker.pace_changed_boot_ms = now.boot_ms
 
@@ -146,13 +150,15 @@
             self._model.presses(image, step.spec.image) for image in rooms
         )
 
-    def _grant(self, worker: WorkerState, run: RunState, rooms: Rooms) -> bool:
+    def _grant(
+        self, worker: WorkerState, run: RunState, rooms: Rooms, now: Instant
+    ) -> bool:
         """Set the pace that the rooms allow and take its part of them."""
         step = run.step
         if step is None:
             return False
         whole = max(1, worker.description.processors_millicores)
-        share = _full_use(run) / whole
+        share = _full_use(run, now) / whole
         costs: dict[str, float] = {}
         pace = FULL_PACE
         binding = ""
@@ -187,7 +193,7 @@
         return _set_pace(worker, run, pace)
 
 
-def _full_use(run: RunState) -> float:
+def _full_use(run: RunState, now: Instant) -> float:
     """Return the processors that a run would use at full pace."""
     step = run.step
     if step is None:
@@ -195,12 +201,14 @@
     declared = step.spec.processors_millicores
     if (
         run.load is None
+        or now.boot_ms - run.ordered_boot_ms < MEASURED_AGE_MS
         or run.pace < MEASURED_PACE_MIN
         or run.pace != run.pace_wanted
     ):
         return declared
     # What else fills may leave it less than it could use.
-    return min(declared, run.load * FULL_PACE / run.pace * USE_RESERVE)
+    use = run.load * FULL_PACE / run.pace * USE_RESERVE
+    return min(declared, max(declared * USE_SHARE_MIN, use))
 
 
 def _set_pace(worker: WorkerState, run: RunState, pace: int) -> bool:
--- a/testing/dispatch/test_placing.py
+++ b/testing/dispatch/test_placing.py
@@ -6,50 +6,13 @@
 from sardinespool.dispatch.placing import Placing
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
-from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.tail_model import TailState
 from sardinespool.dispatch.worker_state import WorkerState
-from sardinespool.messages.fleet import WorkerDescription
-from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.workflows import StepSpec
-from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.workflows.records import StepRecord
-from sardinespool.workflows.records import WorkflowRecord
-
-QUEUE = QueueSpec(
-    name="q",
-    host="h",
-    prefix="/",
-    pool="p",
-    priority=0,
-    failures_max=2,
-    stretch=1.5,
-    latency_objective_ms=100,
-)
-
-
-def worker(name: str, millicores: int, *labels: str) -> WorkerState:
-    description = WorkerDescription(
-        worker_id=name,
-        life=1,
-        address="10.0.0.1:80",
-        pool="p",
-        failure_domain="centro",
-        host=name,
-        labels=labels,
-        processors_millicores=millicores,
-        memory_mb=100_000,
-        accelerators=0,
-    )
-    return WorkerState(description, DispatchSettings(), 0)
-
-
-def step(spec: StepSpec) -> StepRecord:
-    workflow = WorkflowRecord(
-        "j", QUEUE, WorkflowSpec(payload="", steps=(spec,)), 0
-    )
-    return workflow.open_occurrence(0)[0]
+from testing.dispatch.support import make_step
+from testing.dispatch.support import make_worker
 
 
 def place(
@@ -82,14 +45,14 @@
 ) -> None:
     """Guards against a long-running task that waits beside two places."""
     spec = StepSpec(count=4, processors_millicores=1_000, long_running=True)
-    workers = [worker(f"w{i}", room) for i, room in enumerate(rooms)]
-    assert len(place(step(spec), workers)) == placed
+    workers = [make_worker(f"w{i}", room) for i, room in enumerate(rooms)]
+    assert len(place(make_step(spec), workers)) == placed
 
 
 def test_short_tasks_take_the_last_place() -> None:
     """Guards against a place that is kept from those it is kept for."""
     spec = StepSpec(count=4, processors_millicores=1_000)
-    assert place(step(spec), [worker("w", 4_000)]) == ["w"] * 4
+    assert place(make_step(spec), [make_worker("w", 4_000)]) == ["w"] * 4
 
 
 def test_limits_of_a_step_hold() -> None:
@@ -101,19 +64,19 @@
         required_label="b",
     )
     workers = [
-        worker("plain", 9_000, "a"),
-        worker("b1", 1_000, "b"),
-        worker("b2", 1_000, "b"),
+        make_worker("plain", 9_000, "a"),
+        make_worker("b1", 1_000, "b"),
+        make_worker("b2", 1_000, "b"),
     ]
-    assert sorted(place(step(spec), workers)) == ["b1", "b1", "b2", "b2"]
+    assert sorted(place(make_step(spec), workers)) == ["b1", "b1", "b2", "b2"]
 
 
 def test_worker_where_a_task_failed_is_the_last_choice() -> None:
     """Guards against a retry on the worker that fails everything."""
     spec = StepSpec(count=1, processors_millicores=100)
-    workers = [worker("bad", 64_000), worker("good", 1_000)]
-    assert place(step(spec), workers, shunned={"bad"}) == ["good"]
-    assert place(step(spec), workers[:1], shunned={"bad"}) == ["bad"]
+    workers = [make_worker("bad", 64_000), make_worker("good", 1_000)]
+    assert place(make_step(spec), workers, shunned={"bad"}) == ["good"]
+    assert place(make_step(spec), workers[:1], shunned={"bad"}) == ["bad"]
 
 
 def test_filling_tasks_go_where_they_do_not_press() -> None:
@@ -133,9 +96,9 @@
                 now_ms,
             )
     assert model.press("web", "heavy") > 3 * model.press("api", "heavy")
-    workers = [worker("web", 64_000), worker("api", 64_000)]
+    workers = [make_worker("web", 64_000), make_worker("api", 64_000)]
     for state in workers:
-        serving = step(
+        serving = make_step(
             StepSpec(
                 count=1,
                 processors_millicores=8_000,
@@ -152,4 +115,4 @@
         uses_leftover_processors=True,
         image="heavy",
     )
-    assert place(step(filling), workers, model) == ["api"] * 3
+    assert place(make_step(filling), workers, model) == ["api"] * 3
