Add sardinespool explain, which reads the history of an id from logs

Cause: from a caller's id to its cause the operations page had only grep and a sort by hand, and the time of day of a machine may jump.

--- a/src/sardinespool/errors/__init__.py
+++ b/src/sardinespool/errors/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from sardinespool.errors import configuration
+from sardinespool.errors import logs
 from sardinespool.errors import replication
 from sardinespool.errors import requests
 from sardinespool.errors import settings
@@ -18,6 +19,7 @@
     "SardinespoolError",
     "configuration",
     "error_from_code",
+    "logs",
     "replication",
     "requests",
     "settings",
--- /dev/null
+++ b/src/sardinespool/errors/logs.py
@@ -0,0 +1,15 @@
+"""Errors in reading logs."""
+
+from sardinespool.errors.base import SardinespoolError
+
+
+class LogFileError(SardinespoolError):
+    """A log file can't be read."""
+
+    http_status = 400
+
+
+class NoHistoryError(SardinespoolError):
+    """No line of the logs names the id."""
+
+    http_status = 404
--- a/src/sardinespool/programs/command_line/main.py
+++ b/src/sardinespool/programs/command_line/main.py
@@ -7,6 +7,7 @@
 
 import sardinespool
 from sardinespool.programs.command_line import views
+from sardinespool.programs.command_line.explain import explain
 from sardinespool.programs.command_line.jobs import jobs_app
 from sardinespool.programs.command_line.patches import domains_app
 from sardinespool.programs.command_line.patches import patch_app
@@ -33,6 +34,7 @@
     views.workers,
     views.endpoints,
     views.dump,
+    explain,
 ):
     app.command()(_command)
 
