Start filling steps that have waited for long wherever they find processors

Ruled out: the trial of untried pairs, which waits 1.2 s at most.

Change: starved steps pass over the room, the trial and the expected speed, as before only while under 0.6 of the processors is in reservation, and start at a pace of 10%.

--- a/src/sardinespool/dispatch/filling.py
+++ b/src/sardinespool/dispatch/filling.py
@@ -20,7 +20,7 @@
 """Expected share of its full speed from which a task starts; a slower run
 had better wait for a place elsewhere."""
 STARVED_SPEED = 0.1
-"""Share of the speed that a task that has waited for long is content with."""
+"""Share of its processors that a task must find that has waited for long."""
 TRIAL_MS = 1_200
 """Time in which one start of an untried pair must show its press: two
 reports of the tail."""
@@ -75,13 +75,13 @@
         Parameters
         ----------
         starved : bool
-            The task has waited for long and starts at the least speed.
+            The task has waited for long and starts wherever it finds
+            processors; it may be slowed there.
         """
         whole = max(1, worker.description.processors_millicores)
         size = max(1, spec.processors_millicores)
         found = min(1.0, worker.leftover_millicores / size)
-        least = STARVED_SPEED if starved else START_SPEED_MIN
-        if found < least:
+        if found < (STARVED_SPEED if starved else START_SPEED_MIN):
             return None
         share = size / whole
         speeds = [1.0] * len(AHEAD_MS)
@@ -89,7 +89,9 @@
         worst = 0.0
         use = worker.declared_use()
         for image, rooms in self._rooms_of(worker):
-            if self._is_on_trial(image, spec.image, worker.worker_id):
+            if not starved and self._is_on_trial(
+                image, spec.image, worker.worker_id
+            ):
                 return None
             cost = self._model.press(image, spec.image) * share
             if cost > HARMLESS_PRESS:
@@ -97,14 +99,14 @@
                 taken = self._model.added(image, use)
                 # A run works at full pace until the first change arrives,
                 # and a tail shows the worst part of its half second.
-                if rooms[0] - taken < cost:
+                if rooms[0] - taken < cost and not starved:
                     return None
                 for index, room in enumerate(rooms):
                     left = max(0.0, room - taken) / cost
                     speeds[index] = min(speeds[index], left)
             hostility = max(hostility, self._hostility_of(image))
         speed = found * sum(speeds) / len(speeds)
-        if speed < least:
+        if speed < START_SPEED_MIN and not starved:
             return None
         return speed + HOSTILE_BONUS * hostility - PRESS_PENALTY * worst
 
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -35,6 +35,9 @@
 STARVED_RESERVED_MAX = 0.6
 """Share of the processors in reservation above which steps may wait longer
 for a worker on which they press on nothing."""
+STARVED_PACE = 10
+"""Percent at which a task of such a step starts, until the first list of its
+worker shows what it may take."""
 IDLE_PASS_INTERVAL_MS = 100
 """Pause after a pass that found no room, unless room becomes free; tails and
 paces change within half a second."""
@@ -320,9 +323,10 @@
         if room <= 0:
             return []
         gang_run = max((task.run for task in step.tasks), default=0) + 1
+        starved = self._is_starved(step, now)
         workers = placing.workers_for(
             step,
-            self._is_starved(step, now),
+            starved,
             self._health.shunned(step.key),
         )
         for index in waiting[:room]:
@@ -335,6 +339,8 @@
                 task.key, number, task, RunPhase.ORDERED, now.boot_ms
             )
             run.committed = False
+            if starved and step.spec.uses_leftover_processors:
+                run.pace_wanted = STARVED_PACE
             worker.add_run(run)
             planned.append((worker, run))
         if step.spec.gang and len(planned) < step.spec.count:
--- a/testing/dispatch/test_planner.py
+++ b/testing/dispatch/test_planner.py
@@ -3,6 +3,8 @@
 import pytest
 
 from sardinespool.dispatch.planner import first_tasks
+from sardinespool.messages.estimates import PressEstimate
+from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.support import filling
 from testing.dispatch.support import make_step
@@ -74,3 +76,40 @@
         mixed += len({number % 2 for number in numbers}) > 1
     assert world.oracle.starts == 8
     assert mixed == 0
+
+
+def test_filling_job_starts_though_it_presses_everywhere() -> None:
+    """Guards against a job of which nothing runs beside free workers."""
+    world = World(2)
+    for worker in world.workers.values():
+        worker.hanging = True
+    world.submit(
+        "serve",
+        StepSpec(
+            count=len(world.workers),
+            processors_millicores=1_000,
+            memory_mb=100,
+            long_running=True,
+            image="web",
+            tail_latency_target_ms=20,
+            tasks_per_worker_max=1,
+        ),
+    )
+    world.run(1_000)
+    presses = PressEstimate(
+        serving="web", filling="heavy", press=30.0, variance=0.1
+    )
+    world.machine.estimates = RecordEstimates(
+        period_ms=None, presses=(presses,)
+    )
+    world.lose_leader(50)
+    world.run(1_000)
+    world.submit("fill", filling("heavy", millicores=1_000, count=2))
+    world.run(3_000)
+    started = {
+        task
+        for worker in world.workers.values()
+        for task in worker.running
+        if task.startswith("fill")
+    }
+    assert started
