Ignore the refusal of an order of an earlier leadership

The flag was set by any such refusal, so that the answer to a hold of a former leadership, which waits up to a second, stopped a member that had been elected again: its runs lapse and nothing is started or stopped.

Change: a refusal counts only if the order carried the present token. The new test fails without it.

--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -8,6 +8,7 @@
 from sardinespool.dispatch.orders import EndedRow
 from sardinespool.dispatch.orders import HoldAnswer
 from sardinespool.dispatch.orders import HoldDone
+from sardinespool.dispatch.orders import HoldWorker
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import Order
 from sardinespool.dispatch.orders import OrderAnswer
@@ -49,8 +50,8 @@
     ) -> None:
         """Stop a run."""
 
-    def stop_ordering(self) -> None:
-        """Send no more orders: a worker has seen a higher token."""
+    def stop_ordering(self, refused_token: int) -> None:
+        """Send no more orders with a token that a worker refused."""
 
     def note_listed_ends(self, worker: WorkerState) -> None:
         """Commit the listed ends before they are acknowledged."""
@@ -90,6 +91,7 @@
     def hold_answered(
         self,
         worker: WorkerState,
+        hold: HoldWorker,
         answer: HoldAnswer,
         sent_boot_ms: int,
         now: Instant,
@@ -104,7 +106,7 @@
                 self._heard(worker, answer.clock_ms, now)
                 self._take_lists(worker, answer, sent_boot_ms, now)
             case OrderRefused(reason=Refusal.FENCED):
-                self._fence(worker)
+                self._fence(worker, hold.fencing_token)
             case OrderRefused(reason=reason, clock_ms=clock_ms):
                 self._heard(worker, clock_ms, now)
                 worker.avoid_until_boot_ms = now.boot_ms + UNHEALTHY_PAUSE_MS
@@ -132,7 +134,7 @@
                 self._heard(worker, clock_ms, now)
                 self._done(run, order, now)
             case OrderRefused(reason=Refusal.FENCED):
-                self._fence(worker)
+                self._fence(worker, order.fencing_token)
             case OrderRefused(reason=reason, clock_ms=clock_ms):
                 self._heard(worker, clock_ms, now)
                 self._refused(worker, run, order, reason, now)
@@ -186,9 +188,11 @@
                 reason=reason,
             )
 
-    def _fence(self, worker: WorkerState) -> None:
-        self._control.stop_ordering()
-        _LOG.warning("fenced by a higher token", worker=worker.worker_id)
+    def _fence(self, worker: WorkerState, token: int) -> None:
+        self._control.stop_ordering(token)
+        _LOG.warning(
+            "fenced by a higher token", worker=worker.worker_id, token=token
+        )
 
     def _replaced(self, worker: WorkerState) -> None:
         # The address belongs to one process; the one that answers now
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.order_book import OrderBook
 from sardinespool.dispatch.orders import HoldAnswer
+from sardinespool.dispatch.orders import HoldWorker
 from sardinespool.dispatch.orders import Order
 from sardinespool.dispatch.orders import OrderAnswer
 from sardinespool.dispatch.pacing import Pacing
@@ -167,9 +168,14 @@
         worker.pending[run.key] = run
         self._wake(worker.worker_id)
 
-    def stop_ordering(self) -> None:
-        """Send no more orders in this leadership: another one has begun."""
-        self.orders.fenced = True
+    def stop_ordering(self, refused_token: int) -> None:
+        """Send no more orders in this leadership: another one has begun.
+
+        The refusal of an order of an earlier leadership of this member may
+        arrive in the next one, and says nothing of that.
+        """
+        if refused_token == self.orders.fencing_token:
+            self.orders.fenced = True
 
     def end_run(
         self,
@@ -208,6 +214,7 @@
         self,
         worker_id: str,
         life: int,
+        hold: HoldWorker,
         answer: HoldAnswer,
         sent_boot_ms: int,
         now: Instant,
@@ -216,7 +223,7 @@
         worker = self.fleet.workers.get(worker_id)
         if worker is None or worker.description.life != life:
             return
-        self._answers.hold_answered(worker, answer, sent_boot_ms, now)
+        self._answers.hold_answered(worker, hold, answer, sent_boot_ms, now)
         self._wake(worker_id)
 
     def order_answered(
--- a/src/sardinespool/programs/controller/worker_links.py
+++ b/src/sardinespool/programs/controller/worker_links.py
@@ -117,6 +117,7 @@
             self._dispatcher.hold_answered(
                 self._worker_id,
                 description.life,
+                hold,
                 answer,
                 now.boot_ms,
                 system_clock.now(),
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from sardinespool.dispatch.orders import HoldWorker
+from sardinespool.dispatch.orders import OrderRefused
+from sardinespool.dispatch.orders import Refusal
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.world import World
 
@@ -210,3 +213,35 @@
     world.run(2_000)
     assert refused == sum(worker.fenced for worker in world.workers.values())
     assert world.oracle.starts == 0
+
+
+def test_refusal_of_an_earlier_leadership_does_not_stop_the_next() -> None:
+    """Guards against a leader that never orders again.
+
+    A member that leads, is deposed and leads again can still get the answer
+    to an order of the first time.
+    """
+    world = World(7)
+    world.run(1_500)
+    dispatcher = world.dispatcher
+    late = HoldWorker(
+        fencing_token=world.term, acknowledged_end=0, wait_ms=1_000
+    )
+    world.term += 2
+    dispatcher.begin(world.term, world.now())
+    dispatcher.hold_answered(
+        "w0",
+        world.workers["w0"].life,
+        late,
+        OrderRefused(Refusal.FENCED, 1),
+        world.now().boot_ms,
+        world.now(),
+    )
+    step = StepSpec(
+        count=6,
+        processors_millicores=1_000,
+        memory_mb=100,
+        expected_run_ms=700,
+    )
+    world.submit("job", step)
+    settle(world, ["job"])
--- a/testing/dispatch/world.py
+++ b/testing/dispatch/world.py
@@ -210,7 +210,7 @@
             if dispatcher is self.dispatcher and self.serving:
                 self._holding[worker_id] = False
                 dispatcher.hold_answered(
-                    worker_id, life, result, sent_boot_ms, self.now()
+                    worker_id, life, hold, result, sent_boot_ms, self.now()
                 )
 
         if not self._answers(worker):
