Stop the runs of ended jobs when a leadership begins

Cause: a cancel was committed and answered, and the leader was lost before its stops had left.

Ruled out: a worker that could not be reached (it answered the new leader at 34.91 s), and the refusal of orders for a higher token (no such line).

Change: what begins to lead stops every run of a job that has ended. The new test fails without it.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -101,6 +101,7 @@
         self._model.restore(self._machine.estimates, now.boot_ms)
         self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
         self.fleet.begin(now)
+        self._stop_ended_jobs()
         for worker_id in self.fleet.workers:
             self._wake(worker_id)
 
@@ -148,6 +149,17 @@
                 ):
                     self.stop_run(worker, run, reason)
 
+    def _stop_ended_jobs(self) -> None:
+        """Stop what still runs of jobs that ended under an earlier leader.
+
+        Its stops may not have left, or have got no answer.
+        """
+        for worker in self.fleet.workers.values():
+            for run in list(worker.runs.values()):
+                if run.step is not None and run.step.workflow.is_final:
+                    state = run.step.workflow.state
+                    self.stop_run(worker, run, f"job {state} before")
+
     def stop_run(
         self, worker: WorkerState, run: RunState, reason: str
     ) -> None:
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -245,3 +245,27 @@
     )
     world.submit("job", step)
     settle(world, ["job"])
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_next_leader_stops_the_runs_of_cancelled_jobs(
+    long_running: bool,
+) -> None:
+    """Guards against tasks that run on after a cancel and a lost leader."""
+    world = World(8)
+    for worker in world.workers.values():
+        worker.hanging = True
+    step = StepSpec(
+        count=6,
+        processors_millicores=1_000,
+        memory_mb=100,
+        long_running=long_running,
+    )
+    world.submit("job", step)
+    world.run(1_500)
+    assert any(worker.running for worker in world.workers.values())
+    # The cancel is in the log, and the leader is lost before its stops.
+    world.cancel("job")
+    world.lose_leader(300)
+    world.run(4_000)
+    assert not any(worker.running for worker in world.workers.values())
