Stop runs that the log has ended and keep their room

Cause: a run that a worker lists and the log has ended was to be stopped as not assigned. The stop took it for a run whose start had never been sent, and ended it in the books without an order: it ran on, and its room was given to others until the next list, again and again.

that this is the cause is likely, not proved.

Ruled out: orders refused for a higher token (none in the logs), two rounds of placement in a pass (both count the room that is reserved), a new life's starts (kept since this morning's change).

Change: such a run counts as sent, so that its stop is ordered, and takes the room that the log gives for its task. The new test fails without it.

--- a/src/sardinespool/dispatch/answers.py
+++ b/src/sardinespool/dispatch/answers.py
@@ -296,10 +296,16 @@
     ) -> None:
         run = worker.runs.get((row.task, row.run))
         if run is None:
-            # Its room is taken until it ends, though its size is unknown.
+            # Its room is taken until it ends; the log tells its size unless
+            # the job was forgotten.
             run = RunState(
-                row.task, row.run, None, RunPhase.RUNNING, now.boot_ms
+                row.task,
+                row.run,
+                self._fleet.task_of(row.task),
+                RunPhase.RUNNING,
+                now.boot_ms,
             )
+            run.sent = True
             worker.add_run(run)
             self._control.stop_run(worker, run, "not assigned")
             return
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -12,6 +12,7 @@
 from sardinespool.messages.fleet import WorkerDescription
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.observability.logs import get_logger
+from sardinespool.workflows.records import TaskRecord
 
 HEARD_WITHIN_MS = 3_500
 """Two heartbeats of a worker; older news tell nothing of its condition."""
@@ -207,6 +208,10 @@
         """Return whether a worker gave a sign of life lately."""
         return now.boot_ms - self._last_heard(worker) < HEARD_WITHIN_MS
 
+    def task_of(self, key: str) -> TaskRecord | None:
+        """Return the task of a name as the log has it."""
+        return self._machine.table.task(key)
+
     def reserved_share(self) -> float:
         """Return the share of all processors that is reserved."""
         whole = free = 0
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -269,3 +269,30 @@
     world.lose_leader(300)
     world.run(4_000)
     assert not any(worker.running for worker in world.workers.values())
+
+
+def test_run_that_the_log_has_ended_takes_its_room() -> None:
+    """Guards against starts over the room of a run that is being stopped."""
+    world = World(9, workers=1)
+    worker = world.workers["w0"]
+    worker.hanging = True
+    step = StepSpec(
+        count=1,
+        processors_millicores=3_000,
+        memory_mb=100,
+        expected_run_ms=700,
+    )
+    world.submit("job", step)
+    world.run(1_500)
+    state = world.dispatcher.fleet.workers["w0"]
+    (run,) = state.runs.values()
+    world.cancel("job")
+    world.dispatcher.end_run(state, run, "lost", "as an earlier leader did")
+    while run.key in state.runs and state.runs[run.key] is run:
+        world.run(5)
+    while run.key not in state.runs:
+        world.run(5)
+    assert worker.running
+    world.submit("other", step)
+    world.run(3_000)
+    assert world.oracle.broken == []
