Count each failed run of a task once

Cause: a worker lists an end until it is acknowledged, and a new leader has no list of the ends that the earlier one committed. It records them again, and the table added one to the failures of the task for each record. Ends of two members of a gang that failed in the same run counted as two as well, though the others of a run end with the first.

Ruled out, from reading: ends that a worker lists twice to one leader; it skips numbers that it has seen, as long as it keeps its record of the worker.

Change: a task keeps the numbers of its failed runs, and only a run that was not recorded before can fail the job. A late `failed` of a run recorded as `lost` counts, once. A gang counts distinct runs of all its members. Tasks that last have no limit and keep no numbers. This makes recording idempotent wherever the repetition comes from.

Failures without numbers are attributed to the latest ended runs, at most one each, so a repeated end of the latest ended run isn't counted again and counts above the number of ended runs, which repeated ends caused, are corrected.

Rolling upgrade: replicas of the earlier build still count repeated ends, so while both builds run a job may be failed on some replicas and not on others, and which state is shown depends on the leader.

Change leaders as little as possible while upgrading.

--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Sequence
 
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.workflows import FINAL_STATES
@@ -23,11 +24,20 @@
 
 
 class TaskRecord:
-    """One task; `run` is the number of its latest run, 0 before the first."""
+    """One task.
+
+    Attributes
+    ----------
+    run : int
+        Number of the latest run, 0 before the first.
+    failed_runs : frozenset of int
+        Numbers of the runs that failed; empty for a long-running task, which
+        has no limit. Only one member of a gang holds a number.
+    """
 
     __slots__ = (
         "checkpoint",
-        "failures",
+        "failed_runs",
         "incarnation",
         "index",
         "key",
@@ -48,9 +58,29 @@
         self.run = 0
         self.worker_id = ""
         self.incarnation = 0
-        self.failures = 0
+        self.failed_runs: frozenset[int] = frozenset()
         self.checkpoint = ""
 
+    @property
+    def failures(self) -> int:
+        """Number of failed runs."""
+        return len(self.failed_runs)
+
+    @property
+    def members(self) -> "Sequence[TaskRecord]":
+        """All tasks of the gang, or only this task outside a gang."""
+        return self.step.tasks if self.step.spec.gang else (self,)
+
+    def add_failed_run(self, run: int) -> bool:
+        """Record a failed run; return whether it was not recorded before.
+
+        The failure of several members in one run is one failure of the gang.
+        """
+        if any(run in member.failed_runs for member in self.members):
+            return False
+        self.failed_runs |= {run}
+        return True
+
 
 class StepRecord:
     """One step of one occurrence.
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -1,5 +1,7 @@
 """Snapshot format of the state of a control group."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from sardinespool.messages.estimates import RecordEstimates
@@ -8,12 +10,17 @@
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.messages.workflows import WorkflowState
+from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.records import TaskState
 from sardinespool.workflows.records import WorkflowRecord
 
 
 class TaskSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """Stored form of a task."""
+    """Stored form of a task.
+
+    Earlier builds store no `failed_runs` and read only `failures`, their
+    number.
+    """
 
     state: int
     run: int
@@ -21,6 +28,7 @@
     incarnation: int = msgspec.field(name="life")
     failures: int
     checkpoint: str
+    failed_runs: tuple[int, ...] = ()
 
 
 class WorkflowSnapshot(msgspec.Struct, frozen=True):
@@ -80,6 +88,7 @@
                         task.incarnation,
                         task.failures,
                         task.checkpoint,
+                        tuple(sorted(task.failed_runs)),
                     )
                     for task in step.tasks
                 )
@@ -112,10 +121,31 @@
                 task.run = stored.run
                 task.worker_id = stored.worker_id
                 task.incarnation = stored.incarnation
-                task.failures = stored.failures
                 task.checkpoint = stored.checkpoint
                 if task.state is not TaskState.DONE:
                     step.remaining += 1
                 if task.state is TaskState.WAITING:
                     step.waiting.add(task.index)
+            if not step.spec.long_running:
+                _restore_failed_runs(step, snapshots)
     return workflow
+
+
+def _restore_failed_runs(
+    step: StepRecord, snapshots: Sequence[TaskSnapshot]
+) -> None:
+    """Restore the numbers of failed runs.
+
+    Failures without numbers are attributed to the latest ended runs, as only
+    ends that are not acknowledged yet are recorded again. A task can't have
+    more failures than ended runs.
+    """
+    for task, stored in zip(step.tasks, snapshots, strict=True):
+        task.failed_runs = frozenset(stored.failed_runs)
+    for task, stored in zip(step.tasks, snapshots, strict=True):
+        missing = stored.failures - task.failures
+        ended = task.run - (task.state is TaskState.ASSIGNED)
+        for run in range(ended, 0, -1):
+            if missing <= 0:
+                break
+            missing -= task.add_failed_run(run)
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -162,7 +162,12 @@
     def _record_end(
         self, end: RunEnd, now_unix_ms: int, failures_max: FailureLimit
     ) -> str:
-        """Record the end of a run; return the job id if that ended the job."""
+        """Record the end of a run; return the job id if that ended the job.
+
+        An end may be recorded again, also after later runs of the task: a
+        worker lists it until it is acknowledged, and the next leader does not
+        know which ends are recorded.
+        """
         task = self.task(end.task)
         if task is None or task.state is TaskState.DONE or end.run > task.run:
             return ""
@@ -172,10 +177,12 @@
         if is_current:
             self._unassign(task)
         step = task.step
-        if end.outcome == "done" and not step.spec.long_running:
-            self._mark_done(task)
-        elif end.outcome == "failed":
-            task.failures += 1
+        has_failed_anew = False
+        if not step.spec.long_running:
+            if end.outcome == "done":
+                self._mark_done(task)
+            elif end.outcome == "failed":
+                has_failed_anew = task.add_failed_run(end.run)
         if step.spec.gang and end.checkpoint:
             # A checkpoint of one member applies to the whole gang.
             for member in step.tasks:
@@ -185,21 +192,13 @@
         if not was_final:
             if step.remaining == 0:
                 self._complete_step(step, now_unix_ms)
-            elif (
-                end.outcome == "failed"
-                and not step.spec.long_running
-                and self._failure_count(task) >= failures_max(workflow)
-            ):
+            elif has_failed_anew and sum(
+                member.failures for member in task.members
+            ) >= failures_max(workflow):
                 self._end_workflow(workflow, "failed", now_unix_ms)
         self._update_ready(step)
         return workflow.job_id if workflow.is_final > was_final else ""
 
-    def _failure_count(self, task: TaskRecord) -> int:
-        """Return the failed runs of the task, or of its gang."""
-        if task.step.spec.gang:
-            return sum(member.failures for member in task.step.tasks)
-        return task.failures
-
     def _unassign(self, task: TaskRecord) -> None:
         assigned_tasks = self.assigned.get(task.worker_id)
         if assigned_tasks is not None:
@@ -213,7 +212,7 @@
     def _mark_done(self, task: TaskRecord) -> None:
         step = task.step
         # A gang is done as soon as one member is.
-        for member in step.tasks if step.spec.gang else (task,):
+        for member in task.members:
             if member.state is TaskState.DONE:
                 continue
             if member.state is TaskState.ASSIGNED:
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -51,6 +51,8 @@
         Seed of run times, failures and clock rate.
     failing, hanging : bool
         Whether all runs on this worker fail, or never progress.
+    failure_ratio : float
+        Share of the other runs that fail.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -61,6 +63,7 @@
         self.worker_id = worker_id
         self.failing = failing
         self.hanging = False
+        self.failure_ratio = 0.05
         self.fenced = 0
         self.up = True
         self.reachable = True
@@ -196,7 +199,7 @@
             return OrderRefused(Refusal.LATE, clock_ms)
         self._extend(order.lease_end_ms, clock_ms)
         outcome: RunOutcome = "done"
-        if self.failing or self._random.random() < 0.05:
+        if self.failing or self._random.random() < self.failure_ratio:
             outcome = "failed"
         duration_ms = self._random.randint(100, 1_500)
         if self.hanging:
@@ -222,4 +225,4 @@
         self._ended.append(
             EndedRun(self._end_count, task, running.run, outcome, "")
         )
-        self._oracle.ended(task, self.worker_id, outcome)
+        self._oracle.ended(task, running.run, self.worker_id, outcome)
--- a/testing/dispatch/oracle.py
+++ b/testing/dispatch/oracle.py
@@ -8,7 +8,10 @@
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.messages.workflows import WorkflowState
 
+FAILURES_MAX = 3
+"""Limit of the simulated queue."""
 WORKER_MILLICORES = 4_000
 
 
@@ -24,6 +27,7 @@
         self.done: set[str] = set()
         self._acknowledged_tasks: set[str] = set()
         self._failures: collections.Counter[str] = collections.Counter()
+        self._failed_runs: dict[str, set[int]] = {}
         self._running: dict[str, set[str]] = {}
 
     def step_of(self, task: str) -> tuple[WorkflowSpec, StepSpec, int]:
@@ -48,7 +52,7 @@
                     self._add_violation(
                         f"{task} starts before step {predecessor} is done"
                     )
-        if self._failures[task] >= 3:
+        if self._failures[task] >= FAILURES_MAX:
             self._add_violation(f"{task} starts after three failures")
         cancelled_ms = self.cancelled_ms.get(job_id)
         if cancelled_ms is not None and self.now_ms > cancelled_ms + 3_000:
@@ -65,10 +69,14 @@
                 f"{worker_id} exceeds its processors with {task}"
             )
 
-    def ended(self, task: str, worker_id: str, outcome: RunOutcome) -> None:
+    def ended(
+        self, task: str, run: int, worker_id: str, outcome: RunOutcome
+    ) -> None:
         self._running.get(worker_id, set()).discard(task)
         if outcome == "done":
             self.done.add(task)
+        elif outcome == "failed":
+            self._failed_runs.setdefault(task, set()).add(run)
 
     def acknowledged(self, task: str, outcome: RunOutcome) -> None:
         if outcome == "done":
@@ -76,6 +84,25 @@
         elif outcome == "failed":
             self._failures[task] += 1
 
+    def shown(self, job_id: str, state: WorkflowState) -> None:
+        """Check a state that a requester was shown."""
+        if state != "failed":
+            return
+        most = max(
+            (
+                len(runs)
+                for task, runs in self._failed_runs.items()
+                if task.split(".")[0] == job_id
+                and not self.step_of(task)[1].long_running
+            ),
+            default=0,
+        )
+        if most < FAILURES_MAX:
+            self._add_violation(
+                f"{job_id} is shown as failed after {most} failed runs of "
+                "a task"
+            )
+
     def worker_down(self, worker_id: str) -> None:
         self._running.pop(worker_id, None)
 
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -25,13 +25,18 @@
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.workflows import CancelWorkflow
+from sardinespool.messages.workflows import ReadWorkflow
+from sardinespool.messages.workflows import RecordRuns
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import SubmitWorkflow
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.messages.workflows import WorkflowState
+from sardinespool.messages.workflows import WorkflowStatus
 from sardinespool.observability.metrics import Metrics
 from sardinespool.replication.status import ReplicaStatus
 from sardinespool.replication.status import Role
 from testing.dispatch.fake_worker import FakeWorker
+from testing.dispatch.oracle import FAILURES_MAX
 from testing.dispatch.oracle import Oracle
 
 TICK_MS = 5
@@ -51,10 +56,14 @@
         Share of calls without an answer.
     late : float
         Share of unanswered orders that the worker executes later.
+    lost_acknowledgement : float
+        Share of commands with ends after whose commit the leader is lost
+        before it acknowledges them.
     """
 
     unanswered: float = 0.0
     late: float = 0.0
+    lost_acknowledgement: float = 0.0
 
 
 class Simulation:
@@ -91,7 +100,7 @@
                         prefix=PREFIX,
                         pool="pool",
                         priority=0,
-                        failures_max=3,
+                        failures_max=FAILURES_MAX,
                         stretch=2.0,
                         latency_objective_ms=500,
                     ),
@@ -147,6 +156,17 @@
         result = self._apply(outcome.body)
         self.service.build_reply(request, result, self.now())
 
+    def read_state(self, job_id: str) -> WorkflowState:
+        """Read the state of a job; there must be a leader."""
+        outcome = self.service.handle(
+            ReadWorkflow(host=HOST, path=PREFIX + job_id), self.now()
+        )
+        assert isinstance(outcome, ImmediateReply)
+        assert isinstance(outcome.reply, WorkflowStatus)
+        state = outcome.reply.state
+        self.oracle.shown(job_id, state)
+        return state
+
     def at(self, delay_ms: int, action: Callable[[], None]) -> None:
         heapq.heappush(
             self._events,
@@ -200,11 +220,22 @@
                     self._apply(body)
                 return
             result = self._apply(body)
+            if self._loses_acknowledgement(body):
+                self.lose_leader(self.random.randint(50, 1_000))
+                return
             self._in_commit = False
             service.on_applied(body, result, self.now())
 
         return commit
 
+    def _loses_acknowledgement(self, body: CommandBody) -> bool:
+        return (
+            self.faults.lost_acknowledgement > 0
+            and isinstance(body, RecordRuns)
+            and bool(body.ends)
+            and self.random.random() < self.faults.lost_acknowledgement
+        )
+
     def _send_lease_renewal(self, worker: FakeWorker) -> None:
         worker_id = worker.worker_id
         if self._hold_in_flight.get(worker_id):
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -40,6 +40,7 @@
 def run_until_settled(simulation: Simulation, names: list[str]) -> None:
     """Run without faults until all jobs have ended, then check them."""
     simulation.faults.unanswered = 0.0
+    simulation.faults.lost_acknowledgement = 0.0
     for worker in simulation.workers.values():
         worker.reachable = True
         if not worker.up:
@@ -50,9 +51,9 @@
             simulation.machine.table.workflows[name].is_final for name in names
         ):
             break
-    states = {
-        name: simulation.machine.table.workflows[name].state for name in names
-    }
+    while not simulation.serving:
+        simulation.run(100)
+    states = {name: simulation.read_state(name) for name in names}
     assert simulation.oracle.violations == []
     assert set(states.values()) <= {"completed", "failed", "cancelled"}
     for name, state in states.items():
@@ -137,6 +138,21 @@
     run_until_settled(simulation, submit_jobs(simulation, seed))
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_lost_acknowledgements_break_no_rule(seed: int) -> None:
+    """Guards against jobs that fail because an end is recorded twice."""
+    simulation = Simulation(seed)
+    simulation.faults.unanswered = 0.1
+    simulation.faults.late = 0.6
+    simulation.faults.lost_acknowledgement = 0.3
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.2
+    names = submit_jobs(simulation, seed)
+    simulation.run(5_000)
+    assert simulation.term > 1
+    run_until_settled(simulation, names)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_cancelled_jobs_are_stopped(seed: int) -> None:
     """Guards against tasks of a cancelled job that keep running or start."""
--- a/testing/workflows/test_table.py
+++ b/testing/workflows/test_table.py
@@ -2,62 +2,12 @@
 
 import pytest
 
-from sardinespool.messages.manifest import QueueSpec
-from sardinespool.messages.workflows import AcceptWorkflow
-from sardinespool.messages.workflows import Assignment
-from sardinespool.messages.workflows import RecordRuns
-from sardinespool.messages.workflows import RunEnd
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.messages.workflows import StepSpec
-from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.workflows.snapshot import restore_workflow
 from sardinespool.workflows.snapshot import snapshot_of
 from sardinespool.workflows.table import WorkflowTable
-
-QUEUE = QueueSpec(
-    name="q",
-    host="h",
-    prefix="/",
-    pool="p",
-    priority=0,
-    failures_max=2,
-    stretch=1.5,
-    latency_objective_ms=100,
-)
-
-
-class SingleJob:
-    """A workflow table with one job; all commands are applied at time 0."""
-
-    def __init__(self, *steps: StepSpec, repetitions: int = 0) -> None:
-        self.table = WorkflowTable()
-        spec = WorkflowSpec(
-            payload="", steps=steps, repetitions=repetitions, interval_ms=10
-        )
-        self.workflow = self.table.accept(
-            AcceptWorkflow(job_id="j", queue="q", spec=spec), QUEUE, 0
-        )
-
-    def assign(self, task: str, run: int = 1) -> bool:
-        result = self.table.record_runs(
-            RecordRuns(assignments=(Assignment(f"j.{task}", run, "w", 1),)),
-            0,
-            lambda workflow: workflow.queue.failures_max,
-        )
-        return not result.refused
-
-    def end(
-        self,
-        task: str,
-        outcome: RunOutcome,
-        run: int = 1,
-        checkpoint: str = "",
-    ) -> None:
-        self.table.record_runs(
-            RecordRuns(ends=(RunEnd(f"j.{task}", run, outcome, checkpoint),)),
-            0,
-            lambda workflow: workflow.queue.failures_max,
-        )
+from testing.workflows.support import SingleJob
 
 
 def test_step_waits_for_all_tasks_of_its_predecessors() -> None:
