Keep the checkpoint of the latest run

A task would lose progress, and members of a gang would start from different checkpoints and wait for each other.

Cause: the table stored the checkpoint of every recorded end. The end of run 1, listed again after run 2 had ended, replaced the checkpoint of run 2. A start order carries the stored checkpoint at the time it is built, so a late end of an earlier run of a gang changed it between the starts of two members.

Change: a task stores the run of its checkpoint. That of an earlier run is ignored, and so is any of an earlier run of a gang while a later one is assigned. A single task still takes a late checkpoint of a lost run if it has none of a later run. Within a run the last recorded one applies, as before.

A checkpoint without it is attributed to the latest ended run. While replicas of both builds run they may hold different checkpoints for a task with a late end; the leader's is used, and each is one of the task.

--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -30,6 +30,8 @@
     ----------
     run : int
         Number of the latest run, 0 before the first.
+    checkpoint_run : int
+        Number of the run that produced `checkpoint`.
     failed_runs : frozenset of int
         Numbers of the runs that failed; empty for a long-running task, which
         has no limit. Only one member of a gang holds a number.
@@ -37,6 +39,7 @@
 
     __slots__ = (
         "checkpoint",
+        "checkpoint_run",
         "failed_runs",
         "incarnation",
         "index",
@@ -60,12 +63,18 @@
         self.incarnation = 0
         self.failed_runs: frozenset[int] = frozenset()
         self.checkpoint = ""
+        self.checkpoint_run = 0
 
     @property
     def failures(self) -> int:
         """Number of failed runs."""
         return len(self.failed_runs)
 
+    @property
+    def ended_run(self) -> int:
+        """Number of the latest run that has ended, 0 if none has."""
+        return self.run - (self.state is TaskState.ASSIGNED)
+
     @property
     def members(self) -> "Sequence[TaskRecord]":
         """All tasks of the gang, or only this task outside a gang."""
@@ -81,6 +90,23 @@
         self.failed_runs |= {run}
         return True
 
+    def record_checkpoint(self, run: int, checkpoint: str) -> None:
+        """Store the checkpoint of an ended run unless a later run has one.
+
+        A checkpoint of one member applies to the whole gang. All members
+        start from the same one, so it stays while a later run is assigned.
+        """
+        if not checkpoint or run < self.checkpoint_run:
+            return
+        if self.step.spec.gang and any(
+            member.state is TaskState.ASSIGNED and member.run > run
+            for member in self.members
+        ):
+            return
+        for member in self.members:
+            member.checkpoint = checkpoint
+            member.checkpoint_run = run
+
 
 class StepRecord:
     """One step of one occurrence.
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -18,8 +18,8 @@
 class TaskSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of a task.
 
-    Earlier builds store no `failed_runs` and read only `failures`, their
-    number.
+    Earlier builds store no `failed_runs` and no `checkpoint_run`; they read
+    only `failures`, the number of failed runs.
     """
 
     state: int
@@ -29,6 +29,7 @@
     failures: int
     checkpoint: str
     failed_runs: tuple[int, ...] = ()
+    checkpoint_run: int = 0
 
 
 class WorkflowSnapshot(msgspec.Struct, frozen=True):
@@ -89,6 +90,7 @@
                         task.failures,
                         task.checkpoint,
                         tuple(sorted(task.failed_runs)),
+                        task.checkpoint_run,
                     )
                     for task in step.tasks
                 )
@@ -122,6 +124,9 @@
                 task.worker_id = stored.worker_id
                 task.incarnation = stored.incarnation
                 task.checkpoint = stored.checkpoint
+                task.checkpoint_run = stored.checkpoint_run
+                if task.checkpoint and not task.checkpoint_run:
+                    task.checkpoint_run = task.ended_run
                 if task.state is not TaskState.DONE:
                     step.remaining += 1
                 if task.state is TaskState.WAITING:
@@ -144,8 +149,7 @@
         task.failed_runs = frozenset(stored.failed_runs)
     for task, stored in zip(step.tasks, snapshots, strict=True):
         missing = stored.failures - task.failures
-        ended = task.run - (task.state is TaskState.ASSIGNED)
-        for run in range(ended, 0, -1):
+        for run in range(task.ended_run, 0, -1):
             if missing <= 0:
                 break
             missing -= task.add_failed_run(run)
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -172,8 +172,7 @@
         if task is None or task.state is TaskState.DONE or end.run > task.run:
             return ""
         is_current = task.state is TaskState.ASSIGNED and end.run == task.run
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        task.record_checkpoint(end.run, end.checkpoint)
         if is_current:
             self._unassign(task)
         step = task.step
@@ -183,10 +182,6 @@
                 self._mark_done(task)
             elif end.outcome == "failed":
                 has_failed_anew = task.add_failed_run(end.run)
-        if step.spec.gang and end.checkpoint:
-            # A checkpoint of one member applies to the whole gang.
-            for member in step.tasks:
-                member.checkpoint = end.checkpoint
         workflow = step.workflow
         was_final = workflow.is_final
         if not was_final:
--- a/testing/workflows/test_repeated_ends.py
+++ b/testing/workflows/test_repeated_ends.py
@@ -243,6 +243,93 @@
     assert task.failures == 0
 
 
+@pytest.mark.parametrize(
+    ("step", "events", "checkpoint"),
+    [
+        pytest.param(
+            SINGLE,
+            (
+                Start(1),
+                End(1, "lost", checkpoint="c1"),
+                Start(2),
+                End(2, "lost", checkpoint="c2"),
+                End(1, "lost", checkpoint="c1"),
+            ),
+            "c2",
+            id="older-after-newer",
+        ),
+        pytest.param(
+            SINGLE,
+            (
+                Start(1),
+                End(1, "lost", checkpoint="c1"),
+                Start(2),
+                End(2, "lost", checkpoint="c2"),
+                Restore(),
+                End(1, "lost", checkpoint="c1"),
+            ),
+            "c2",
+            id="older-after-restore",
+        ),
+        pytest.param(
+            SINGLE,
+            (
+                Start(1),
+                End(1, "lost", checkpoint="c1"),
+                End(1, "stopped", checkpoint="c2"),
+            ),
+            "c2",
+            id="last-of-lost-run",
+        ),
+        pytest.param(
+            SINGLE,
+            (
+                Start(1),
+                End(1, "lost"),
+                Start(2),
+                End(1, "lost", checkpoint="c1"),
+            ),
+            "c1",
+            id="late-of-lost-run",
+        ),
+        pytest.param(
+            GANG,
+            (
+                Start(1),
+                End(1, "lost", checkpoint="c1"),
+                End(1, "lost", index=1),
+                Start(2),
+                End(2, "lost", checkpoint="c2"),
+                End(2, "lost", index=1),
+                End(1, "lost", index=1, checkpoint="c1"),
+            ),
+            "c2",
+            id="gang-older-after-newer",
+        ),
+        pytest.param(
+            GANG,
+            (
+                Start(1),
+                End(1, "lost", checkpoint="c1"),
+                End(1, "lost", index=1),
+                Start(2),
+                End(1, "lost", index=1, checkpoint="c2"),
+            ),
+            "c1",
+            id="gang-during-next-run",
+        ),
+    ],
+)
+def test_late_end_does_not_replace_a_newer_checkpoint(
+    step: StepSpec, events: tuple[Event, ...], checkpoint: str
+) -> None:
+    """Guards against work done again, and gangs that start unevenly."""
+    job = SingleJob(step)
+    apply_events(job, *events)
+    for task in job.workflow.occurrences[0][0].tasks:
+        assert task.checkpoint == checkpoint
+
+
 @pytest.mark.parametrize(
     ("row", "events", "state"),
     [
@@ -313,6 +400,17 @@
     assert failures == [1, 1, 1]
 
 
+def test_snapshot_of_an_earlier_build_keeps_the_checkpoint() -> None:
+    """Guards against an older checkpoint after an upgrade."""
+    job = SingleJob(SINGLE)
+    restore_earlier(job, (TaskState.WAITING, 2, 0, "c2"))
+    apply_events(job, End(1, "lost", checkpoint="c1"))
+    (task,) = job.workflow.occurrences[0][0].tasks
+    assert task.checkpoint == "c2"
+    apply_events(job, Start(3), End(3, "lost", checkpoint="c3"))
+    assert task.checkpoint == "c3"
+
+
 @pytest.mark.parametrize(
     ("step", "events", "failures"),
     [
