--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Sequence
 
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.workflows import FINAL_STATES
@@ -23,11 +24,23 @@
 
 
 class TaskRecord:
-    """One task; `run` is the number of its latest run, 0 before the first."""
+    """One task.
+
+    Attributes
+    ----------
+    run : int
+        Number of the latest run, 0 before the first.
+    checkpoint_run : int
+        Number of the run that produced `checkpoint`.
+    failed_runs : frozenset of int
+        Numbers of the runs that failed; empty for a long-running task, which
+        has no limit. Only one member of a gang holds a number.
+    """
 
     __slots__ = (
         "checkpoint",
-        "failures",
+        "checkpoint_run",
+        "failed_runs",
         "incarnation",
         "index",
         "key",
@@ -48,8 +61,51 @@
         self.run = 0
         self.worker_id = ""
         self.incarnation = 0
-        self.failures = 0
+        self.failed_runs: frozenset[int] = frozenset()
         self.checkpoint = ""
+        self.checkpoint_run = 0
+
+    @property
+    def failures(self) -> int:
+        """Number of failed runs."""
+        return len(self.failed_runs)
+
+    @property
+    def ended_run(self) -> int:
+        """Number of the latest run that has ended, 0 if none has."""
+        return self.run - (self.state is TaskState.ASSIGNED)
+
+    @property
+    def members(self) -> "Sequence[TaskRecord]":
+        """All tasks of the gang, or only this task outside a gang."""
+        return self.step.tasks if self.step.spec.gang else (self,)
+
+    def add_failed_run(self, run: int) -> bool:
+        """Record a failed run; return whether it was not recorded before.
+
+        The failure of several members in one run is one failure of the gang.
+        """
+        if any(run in member.failed_runs for member in self.members):
+            return False
+        self.failed_runs |= {run}
+        return True
+
+    def record_checkpoint(self, run: int, checkpoint: str) -> None:
+        """Store the checkpoint of an ended run unless a later run has one.
+
+        A checkpoint of one member applies to the whole gang. All members
+        start from the same one, so it stays while a later run is assigned.
+        """
+        if not checkpoint or run < self.checkpoint_run:
+            return
+        if self.step.spec.gang and any(
+            member.state is TaskState.ASSIGNED and member.run > run
+            for member in self.members
+        ):
+            return
+        for member in self.members:
+            member.checkpoint = checkpoint
+            member.checkpoint_run = run
 
 
 class StepRecord:
