Resume lease renewals after a lapse of the leader's lease

What callers saw: tasks, above all long-running ones, with nothing running beside free workers until the leader changed.

Cause: a sender that found this member without a valid lease waited for the next wake-up. When the lease was valid again before the next batch of the group (a slow sync, late acknowledgements), the group handler saw no change and woke nobody. The worker got no more renewals, ended its runs when their lease expired, and the dispatcher, for which it still answered, kept them as running: `expire_leases` skips workers that answered the last call.

Evidence: the new test failed with `TimeoutError` while it waited for the first renewal after one check without a lease.

Change: without a valid lease, the sender looks again after `retry_ms`. A follower's dispatcher knows no workers, so its senders don't poll. Orders were not affected: their wait ends when an order is due.

--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -108,7 +108,12 @@
             now = system_clock.now()
             worker = self._dispatcher.fleet.workers.get(self._worker_id)
             renewal = None
-            if worker is not None and self._is_leading():
+            if worker is not None:
+                if not self._is_leading():
+                    # Nothing wakes this task when the lapsed lease of this
+                    # member is renewed.
+                    await asyncio.sleep(self._settings.retry_ms / 1000)
+                    continue
                 renewal = self._dispatcher.orders.next_lease_renewal(
                     self._worker_id, now
                 )
--- a/testing/controller/test_worker_senders.py
+++ b/testing/controller/test_worker_senders.py
@@ -13,9 +13,10 @@
 
 
 class FailingDispatcher:
-    """Raises an exception for the first answer to a lease renewal."""
+    """Raises an exception for the first answers to lease renewals."""
 
-    def __init__(self) -> None:
+    def __init__(self, failing_answers: int = 1) -> None:
+        self._failing_answers = failing_answers
         description = SimpleNamespace(incarnation=1)
         worker = SimpleNamespace(description=description)
         self.fleet = SimpleNamespace(workers={"w": worker})
@@ -28,13 +29,13 @@
         )
         self.has_work = False
         self.answer_count = 0
-        self.second_answer = asyncio.Event()
+        self.handled_answer = asyncio.Event()
 
     def handle_renewal_result(self, *_: Any) -> None:
         self.answer_count += 1
-        if self.answer_count == 1:
+        if self.answer_count <= self._failing_answers:
             raise ZeroDivisionError
-        self.second_answer.set()
+        self.handled_answer.set()
 
 
 class AnsweringCaller:
@@ -74,10 +75,36 @@
             lambda: True,
             lambda: None,
         )
-        await dispatcher.second_answer.wait()
+        await dispatcher.handled_answer.wait()
         sender.close()
 
     asyncio.run(run())
     assert len(log_fields) == 1
     assert log_fields[0]["worker"] == "w"
     assert "ZeroDivisionError" in log_fields[0]["fault"]
+
+
+def test_holds_continue_after_lapse_of_leader_lease() -> None:
+    """Guards against lease renewals that stop when the lease lapses briefly.
+
+    Nothing wakes the sender when this member's own lease is valid again; the
+    leases of the worker's runs would expire unnoticed.
+    """
+    checks = iter([False])
+
+    async def run() -> None:
+        dispatcher = FailingDispatcher(failing_answers=0)
+        sender = WorkerSender(
+            "w",
+            dispatcher,  # type: ignore[arg-type]
+            AnsweringCaller(),  # type: ignore[arg-type]
+            DispatchSettings(),
+            lambda: next(checks, True),
+            lambda: None,
+        )
+        # The first check is that of the task that sends lease renewals.
+        async with asyncio.timeout(5):
+            await dispatcher.handled_answer.wait()
+        sender.close()
+
+    asyncio.run(run())
