Keep a group's service while the lease lapses within a term

What callers saw: a task whose turn had come had nothing running beside free workers, until the next leader change.

Cause: the lease (900 ms) is shorter than the time after which a leader without a quorum gives up its term (1,200 ms). When acknowledgements came in between, the handler stopped and restarted the service in the same term. The restarted dispatcher loads the assigned runs from the state, but an assignment that this leader had proposed could still be uncommitted: the acknowledgement of a heartbeat renews the lease before that of the entry. When it was applied, `recorded` returned at once, as the restart had cleared the proposed command. The task was assigned, and in no worker's runs: no start, no lease expiry, no end. The restart also used the fencing token of the term a second time, so that late answers to orders of the first span were taken for answers to those of the second: a refused start could end a run that a later order had started.

Evidence, with three real replicas, handlers and control services, before: assert runs_without_state(leader) == [] AssertionError: assert ['job.0.0.0'] == [] and the dispatcher's worker was another object after the lapse (`assert fleet.workers.get("w") is worker` failed). The harm of late answers is from reading, not from a test.

Change: `LeaderService`, split out of the event handler, starts the service once per term, with its first valid lease, and stops it when this member leads the term no longer. During a lapse the service serves and proposes nothing, but is told of applied commands. No other member can have led in between: a regained lease means that a majority acknowledged this term since.

Ruled out: restarting once all own entries are applied. It cures the lost assignment, but reconciles all workers after each lapse, and still uses the token twice.

--- a/src/sardinespool/groups/interfaces.py
+++ b/src/sardinespool/groups/interfaces.py
@@ -45,10 +45,17 @@
     """Volatile state and request handling of a group, on its leader."""
 
     def become_leader(self, now: Instant) -> None:
-        """Start serving; the machine has applied every committed command."""
+        """Start serving; called once per term that this member leads.
+
+        The machine has applied every command of earlier terms and none of
+        this term.
+        """
 
     def step_down(self) -> None:
-        """Discard the volatile state."""
+        """Discard the volatile state; this member no longer leads the term.
+
+        Not called when the lease only lapses.
+        """
 
     def handle(
         self, request: Request, now: Instant
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -1,6 +1,5 @@
 """Event handling of one group: replica, files, state machine, service."""
 
-import asyncio
 import secrets
 import time
 from collections.abc import Callable
@@ -19,6 +18,7 @@
 from sardinespool.messages.commands import CommandBody
 from sardinespool.messages.commands import FormGroup
 from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.leader_service import LeaderService
 from sardinespool.programs.store.message_sending import can_send_before_sync
 from sardinespool.programs.store.message_sending import DiskEffects
 from sardinespool.programs.store.message_sending import send_entries
@@ -100,8 +100,8 @@
         service_tick_interval_ms: int = SERVICE_TICK_INTERVAL_MS,
     ) -> None:
         self.group = group
-        self.not_serving = asyncio.Event()
-        self.not_serving.set()
+        self._leader_service = LeaderService(group, service)
+        self.not_serving = self._leader_service.not_serving
         self._replica = replica
         self._store = store
         self._machine = machine
@@ -114,7 +114,6 @@
         self._service_tick_interval_ms = service_tick_interval_ms
         self._pending = PendingProposals()
         self._internal_pending = 0
-        self._serving = False
         self._formed = False
         self._applied_index = 0
         self._entries_since_snapshot = 0
@@ -161,7 +160,7 @@
         # Committed entries are applied before any call is served, because
         # the replica reports leadership as soon as it has returned them.
         yield from self._execute(effects)
-        self._update_serving(now)
+        self._leader_service.update_lease(self._replica.is_leader(now), now)
         effects = []
         proposals: list[tuple[CommandBody, Waiter]] = []
         for event in batch:
@@ -183,22 +182,6 @@
         yield from self._execute(effects)
         yield from self._snapshot_if_due()
 
-    def _update_serving(self, now: Instant) -> None:
-        serving = self._replica.is_leader(now)
-        if serving == self._serving:
-            return
-        self._serving = serving
-        if serving:
-            self.not_serving.clear()
-            self._service.become_leader(now)
-            _LOG.info("serving", group=self.group, term=self.status.term)
-        else:
-            self.not_serving.set()
-            self._service.step_down()
-            _LOG.info(
-                "no longer serving", group=self.group, term=self.status.term
-            )
-
     def _handle_call(
         self,
         event: CallReceived,
@@ -206,7 +189,7 @@
         proposals: list[tuple[CommandBody, Waiter]],
     ) -> None:
         waiter = Waiter(event.request, event.reply)
-        if not self._serving or not self._formed:
+        if not self._leader_service.serving or not self._formed:
             fail(waiter, self.not_leader_error())
             return
         try:
@@ -223,7 +206,7 @@
     def _handle_sync_request(self, event: SyncRequested, now: Instant) -> None:
         request = None
         if (
-            self._serving
+            self._leader_service.serving
             and self._formed
             and isinstance(self._service, DomainService)
         ):
@@ -237,7 +220,9 @@
         now: Instant,
         proposals: list[tuple[CommandBody, Waiter]],
     ) -> None:
-        if self._serving and isinstance(self._service, DomainService):
+        if self._leader_service.serving and isinstance(
+            self._service, DomainService
+        ):
             for body in self._service.handle_sync_reply(event.reply, now):
                 proposals.append((body, Waiter()))
 
@@ -246,7 +231,7 @@
     ) -> None:
         # The service returns a due command until it is applied. Ticking
         # it only when none is pending avoids duplicate proposals.
-        if not self._serving or self._internal_pending:
+        if not self._leader_service.serving or self._internal_pending:
             return
         if not self._formed:
             form_group = FormGroup(
@@ -342,7 +327,7 @@
             term=effect.term,
             leader=effect.leader,
         )
-        if not effect.is_leader:
+        if self._leader_service.lead(effect.term if effect.is_leader else 0):
             self._pending.fail_all()
             self._internal_pending = 0
 
@@ -361,8 +346,9 @@
             return
         if waiter.request is None:
             self._internal_pending = max(0, self._internal_pending - 1)
-            if self._serving:
-                self._service.on_applied(command.body, result, self._clock())
+            self._leader_service.on_applied(
+                entry.term, command.body, result, self._clock()
+            )
             return
         now = self._clock()
         # The reply can grant permits and leases, so this member's own
--- a/testing/proof/stores.py
+++ b/testing/proof/stores.py
@@ -167,7 +167,7 @@
             return
         runner = self.runners[group]
         runner.handle_batch_blocking(queued_events)
-        if not runner._serving:
+        if not runner._leader_service.serving:
             return
         before, after = runner.learner_count, len(runner.status.learners)
         runner.learner_count = after
