Apply committed commands to the dispatcher without a reply

What callers saw: free workers that never got a task, assignments to workers that had left, and cancelled jobs whose tasks ran on.

Cause: the dispatcher learned of a committed worker, leave, cancel or job in `build_reply`, which was skipped if the lease had lapsed between the start of the batch and the apply (a frozen process, a slow sync). If a later acknowledgement renewed the lease before the next batch, nothing reloaded the state. The later heartbeats of the worker equal the recorded one, so they are not proposed again.

Evidence, with three real replicas and a freeze inside the apply, before: assert "w" in leader.dispatcher.fleet.workers AssertionError: assert 'w' in {} assert "w" not in leader.dispatcher.fleet.workers AssertionError: assert 'w' not in {'w': <...WorkerState object ...>} assert run.stop_requested assert False

Change: `on_applied` is called for each applied command of the led term, and does what `build_reply` did; `build_reply` only builds the reply. As the command has no path, the line "job accepted" names the queue in its place.

Ruled out: the domain and the global services have no such effects; their `build_reply` only reads.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -136,26 +136,6 @@
         self, request: Request, result: Reply, now: Instant
     ) -> Reply:
         """Return the reply to a request whose command was applied."""
-        match request, result:
-            case ReportWorker(description=description), _:
-                self._dispatcher.description_committed(description, now)
-            case CancelWorkflow(), WorkflowStatus(state="cancelled") as status:
-                _LOG.info("job cancelled", job=status.job_id)
-                self._dispatcher.stop_job(status.job_id, "job cancelled")
-            case WorkerLeaves(worker_id=worker_id), _:
-                self._dispatcher.worker_left(worker_id)
-            case SubmitWorkflow() as request, WorkflowStatus() as status:
-                _LOG.info(
-                    "job accepted",
-                    job=status.job_id,
-                    path=request.path,
-                    steps=len(request.spec.steps),
-                    manifest_version=self._machine.manifest.version,
-                    term=self._status().term,
-                )
-                self._dispatcher.job_accepted()
-            case PublishManifest(version=version), Accepted():
-                _LOG.info("manifest in force", version=version)
         return result
 
     def tick(self, now: Instant) -> list[CommandBody]:
@@ -169,9 +149,29 @@
     def on_applied(
         self, body: CommandBody, result: Reply, now: Instant
     ) -> None:
-        """Apply the result of a committed planning command."""
-        if isinstance(body, RecordRuns) and isinstance(result, RunsRecorded):
-            self._dispatcher.recorded(result, now)
+        """Apply a committed command to the dispatcher."""
+        match body, result:
+            case RecordRuns(), RunsRecorded():
+                self._dispatcher.recorded(result, now)
+            case PutWorker(description=description), _:
+                self._dispatcher.description_committed(description, now)
+            case DropWorker(worker_id=worker_id), _:
+                self._dispatcher.worker_left(worker_id)
+            case EndWorkflow(), WorkflowStatus(state="cancelled") as status:
+                _LOG.info("job cancelled", job=status.job_id)
+                self._dispatcher.stop_job(status.job_id, "job cancelled")
+            case AcceptWorkflow() as accepted, WorkflowStatus() as status:
+                _LOG.info(
+                    "job accepted",
+                    job=status.job_id,
+                    queue=accepted.queue,
+                    steps=len(accepted.spec.steps),
+                    manifest_version=self._machine.manifest.version,
+                    term=self._status().term,
+                )
+                self._dispatcher.job_accepted()
+            case PublishManifest(version=version), Accepted():
+                _LOG.info("manifest in force", version=version)
 
     def _submit(self, request: SubmitWorkflow) -> ImmediateReply | Proposal:
         queue, job_id = self._machine.manifest.resolve(
--- a/src/sardinespool/groups/interfaces.py
+++ b/src/sardinespool/groups/interfaces.py
@@ -71,7 +71,10 @@
     def build_reply(
         self, request: Request, result: Reply, now: Instant
     ) -> Reply:
-        """Return the reply to a request whose proposal was applied."""
+        """Return the reply to a request whose proposal was applied.
+
+        Called after `on_applied`, and only if the reply can be sent.
+        """
 
     def tick(self, now: Instant) -> list[CommandBody]:
         """Return the commands that are due at this time.
@@ -82,4 +85,7 @@
     def on_applied(
         self, body: CommandBody, result: Reply, now: Instant
     ) -> None:
-        """Process the result of a command that `tick` returned."""
+        """Process the result of a command of this term.
+
+        Called for each applied command, even if its sender gets no reply.
+        """
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -341,16 +341,14 @@
         result = self._machine.apply(command, entry.index)
         self._formed = self._formed or self._machine_is_formed()
         self._metrics.applied_entries.inc(group=self.group)
+        now = self._clock()
+        self._leader_service.on_applied(entry.term, command.body, result, now)
         waiter = self._pending.pop(entry.index, entry.term)
         if waiter is None:
             return
         if waiter.request is None:
             self._internal_pending = max(0, self._internal_pending - 1)
-            self._leader_service.on_applied(
-                entry.term, command.body, result, self._clock()
-            )
             return
-        now = self._clock()
         # The reply can grant permits and leases, so this member's own
         # lease is checked again after the sync.
         if not self._replica.is_leader(now):
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -145,7 +145,7 @@
         if isinstance(outcome, ImmediateReply):
             return
         result = self._apply(outcome.body)
-        self.service.build_reply(request, result, self.now())
+        self.service.on_applied(outcome.body, result, self.now())
 
     def at(self, delay_ms: int, action: Callable[[], None]) -> None:
         heapq.heappush(
--- a/testing/store/test_lapsed_lease.py
+++ b/testing/store/test_lapsed_lease.py
@@ -1,9 +1,17 @@
 """Tests of a leader whose lease lapses and is valid again in one term."""
 
+import pytest
+
 from sardinespool.clock import Instant
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import StartRun
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.errors.replication import NotLeaderError
+from sardinespool.messages.codec import Reply
+from sardinespool.messages.codec import Request
+from sardinespool.messages.commands import Command
 from sardinespool.messages.worker_reports import ReportWorker
+from sardinespool.messages.worker_reports import WorkerLeaves
 from sardinespool.messages.workflows import CancelWorkflow
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import SubmitWorkflow
@@ -14,6 +22,7 @@
 from testing.store.control_cluster import ControlCluster
 from testing.store.control_cluster import make_description
 from testing.store.control_cluster import Member
+from testing.store.control_cluster import STEP_MS
 
 SUBMIT = SubmitWorkflow(
     host="h",
@@ -130,3 +139,90 @@
         cluster.step()
     cluster.step()
     assert leader.dispatcher.fleet.workers.get("w") is worker
+
+
+def freeze_in_next_apply(
+    cluster: ControlCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Freeze the leader past the end of its lease when it next applies."""
+    leader = cluster.leader
+    apply = leader.machine.apply
+
+    def freeze_and_apply(command: Command, index: int) -> Reply:
+        monkeypatch.setattr(leader.machine, "apply", apply)
+        while leader.handler.serving:
+            cluster.now_ms += 1
+        return apply(command, index)
+
+    monkeypatch.setattr(leader.machine, "apply", freeze_and_apply)
+
+
+def call_during_freeze(
+    cluster: ControlCluster, monkeypatch: pytest.MonkeyPatch, request: Request
+) -> Member:
+    """Call while the lease has lapsed between the commit and the reply.
+
+    A later heartbeat, acknowledged after the commit, renews the lease before
+    the next batch.
+    """
+    leader = cluster.leader
+    reply = cluster.begin_call(request)
+    cluster.held = is_acknowledgement
+    sent_ms = cluster.now_ms + STEP_MS
+    cluster.run(200)
+    freeze_in_next_apply(cluster, monkeypatch)
+    cluster.held = lambda message: (
+        isinstance(message, AppendReply) and message.sent_boot_ms > sent_ms
+    )
+    cluster.step()
+    cluster.held = lambda message: False
+    assert isinstance(reply.exception(), NotLeaderError)
+    cluster.step()
+    assert leader.handler.serving
+    return leader
+
+
+def test_worker_recorded_without_reply_is_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a recorded worker that never gets a task.
+
+    Its later heartbeats equal the recorded one and are not proposed again.
+    """
+    cluster = ControlCluster()
+    leader = call_during_freeze(cluster, monkeypatch, heartbeat("w", 1))
+    assert "w" in leader.machine.workers
+    assert "w" in leader.dispatcher.fleet.workers
+
+
+def test_worker_dropped_without_reply_is_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against assignments to a worker that has left."""
+    cluster = ControlCluster()
+    register_worker(cluster, "w")
+    leader = call_during_freeze(
+        cluster, monkeypatch, WorkerLeaves(worker_id="w")
+    )
+    assert "w" not in leader.machine.workers
+    assert "w" not in leader.dispatcher.fleet.workers
+
+
+def test_job_cancelled_without_reply_is_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a cancelled job that keeps running."""
+    cluster = ControlCluster()
+    register_worker(cluster, "w")
+    cluster.call(SUBMIT)
+    orders = cluster.leader.dispatcher.orders
+    while (due := orders.next_order("w", cluster.clock())) is None:
+        cluster.step()
+    assert isinstance(due[1], StartRun)
+    leader = call_during_freeze(cluster, monkeypatch, CANCEL)
+    run = leader.dispatcher.fleet.workers["w"].runs[due[0]]
+    assert run.stop_requested
+    run.in_flight = False
+    stop = orders.next_order("w", cluster.clock())
+    assert stop is not None
+    assert isinstance(stop[1], StopRun)
