Keep a worker whose earlier process's leave is recorded late

What callers saw: a worker that restarted was never used again, and its tasks were run a second time.

Cause: a leave is proposed for the incarnation known at that time. If the next incarnation commits first, the state ignores the leave, but the dispatcher dropped the worker by its name and ended its runs. Its heartbeats equal the recorded description, so it was not registered again.

Evidence: a heartbeat of the next incarnation and the leave in one batch, before: assert "w" in leader.dispatcher.fleet.workers AssertionError: assert 'w' in {}

Change: the dispatcher drops the worker only if the state no longer has it.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -156,7 +156,9 @@
             case PutWorker(description=description), _:
                 self._dispatcher.description_committed(description, now)
             case DropWorker(worker_id=worker_id), _:
-                self._dispatcher.worker_left(worker_id)
+                # The state keeps an incarnation that registered meanwhile.
+                if worker_id not in self._machine.workers:
+                    self._dispatcher.worker_left(worker_id)
             case EndWorkflow(), WorkflowStatus(state="cancelled") as status:
                 _LOG.info("job cancelled", job=status.job_id)
                 self._dispatcher.stop_job(status.job_id, "job cancelled")
--- a/testing/store/test_lapsed_lease.py
+++ b/testing/store/test_lapsed_lease.py
@@ -226,3 +226,25 @@
     stop = orders.next_order("w", cluster.clock())
     assert stop is not None
     assert isinstance(stop[1], StopRun)
+
+
+def test_late_leave_of_earlier_incarnation_keeps_worker() -> None:
+    """Guards against dropping a worker that has started anew.
+
+    The state keeps the new incarnation; a dispatcher that dropped it would
+    never use it again.
+    """
+    cluster = ControlCluster()
+    register_worker(cluster, "w")
+    leader = cluster.leader
+    restarted = ReportWorker(
+        description=make_description("w", 2), sequence=1, clock_ms=10
+    )
+    replies = [
+        cluster.begin_call(restarted),
+        cluster.begin_call(WorkerLeaves(worker_id="w")),
+    ]
+    while not all(reply.done() for reply in replies):
+        cluster.step()
+    assert leader.machine.workers["w"].incarnation == 2
+    assert "w" in leader.dispatcher.fleet.workers
