End the runs of a worker that left before a leader change

What callers saw: a task that was never run again, across all later leader changes, and a job that stayed `running`.

Cause: the leave of a worker and the ends of its runs are two commands. A leader lost between them leaves tasks assigned to a worker that the state no longer has. The next leader logged a warning and skipped them.

Change: a new leader ends such runs as `lost`, as the earlier one was about to. The worker had announced its end, so no lease has to run out.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -68,22 +68,46 @@
             self.heartbeat_boot_ms[description.worker_id] = now.boot_ms
         for worker_id, tasks in self._machine.table.assigned.items():
             worker = self.workers.get(worker_id)
-            for task in tasks.values():
-                if worker is None:
-                    # Unexpected: a worker's runs end before it is removed.
-                    _LOG.warning(
-                        "run is assigned to an unknown worker",
-                        task=task.key,
-                        worker=worker_id,
-                    )
-                    continue
-                run = RunState(
+            runs = [
+                RunState(
                     task.key, task.run, task, RunPhase.ORDERED, now.boot_ms
                 )
+                for task in tasks.values()
+            ]
+            if worker is None:
+                self._end_runs_of_departed_worker(worker_id, runs)
+                continue
+            for run in runs:
                 run.sent = True
                 run.unanswered = 1
                 worker.add_run(run)
 
+    def _end_runs_of_departed_worker(
+        self, worker_id: str, runs: list[RunState]
+    ) -> None:
+        """End the runs of a worker whose leave an earlier leader committed.
+
+        That leader was lost before it committed their ends.
+        """
+        departed = WorkerState(
+            WorkerDescription(
+                worker_id=worker_id,
+                incarnation=0,
+                address="",
+                pool="",
+                failure_domain="",
+                host="",
+                labels=(),
+                processors_millicores=0,
+                memory_mb=0,
+                accelerators=0,
+            ),
+            self._settings,
+            0,
+        )
+        for run in runs:
+            self._end_run(departed, run, "lost", "worker left")
+
     def needs_record(self, report: ReportWorker, now: Instant) -> bool:
         """Process a heartbeat; return whether it must be committed."""
         description = report.description
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -23,6 +23,7 @@
 from sardinespool.messages.manifest import PoolSpec
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.worker_reports import DropWorker
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.workflows import CancelWorkflow
 from sardinespool.messages.workflows import StepSpec
@@ -147,6 +148,11 @@
         result = self._apply(outcome.body)
         self.service.on_applied(outcome.body, result, self.now())
 
+    def drop_worker(self, worker_id: str) -> None:
+        """Commit the leave of a worker that the leader learns of no more."""
+        incarnation = self.workers[worker_id].incarnation
+        self._apply(DropWorker(worker_id=worker_id, incarnation=incarnation))
+
     def at(self, delay_ms: int, action: Callable[[], None]) -> None:
         heapq.heappush(
             self._events,
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -303,3 +303,26 @@
     simulation.submit("other", step)
     simulation.run(3_000)
     assert simulation.oracle.violations == []
+
+
+def test_worker_that_leaves_before_leader_change_frees_its_tasks() -> None:
+    """Guards against tasks that stay assigned to a worker that has left.
+
+    The leader that committed the leave is lost before it commits the ends of
+    the worker's runs.
+    """
+    simulation = Simulation(1)
+    simulation.submit(
+        "job", StepSpec(count=6, processors_millicores=1_000, memory_mb=100)
+    )
+    simulation.run(200)
+    worker_id = next(
+        name for name, worker in simulation.workers.items() if worker.running
+    )
+    simulation.workers[worker_id].crash()
+    simulation.drop_worker(worker_id)
+    assert simulation.machine.table.assigned[worker_id]
+    simulation.lose_leader(100)
+    simulation.run(20_000)
+    assert simulation.oracle.violations == []
+    assert simulation.machine.table.workflows["job"].state == "completed"
