--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -12,6 +12,7 @@
 from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import OrderResult
+from sardinespool.dispatch.orders import OtherWorker
 from sardinespool.dispatch.orders import RenewLeaseResult
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.groups.control_machine import ControlMachine
@@ -61,15 +62,19 @@
 class Simulation:
     """One control group with leader changes, and its workers."""
 
-    def __init__(self, seed: int, workers: int = 4) -> None:
+    def __init__(
+        self, seed: int, workers: int = 4, oracle: Oracle | None = None
+    ) -> None:
         self.random = random.Random(seed)
         self.now_ms = 0
-        self.oracle = Oracle()
+        self.oracle = oracle or Oracle()
         self.faults = Faults()
         self.machine = ControlMachine()
         self.settings = DispatchSettings()
         self.term = 0
         self.serving = False
+        self.lapsed = False
+        self.workers_check_incarnation = False
         self.workers = {
             f"w{number}": FakeWorker(
                 f"w{number}", self.oracle, self.random.getrandbits(32)
@@ -120,6 +125,7 @@
         )
         self.service.become_leader(self.now())
         self.serving = True
+        self.lapsed = False
         self._in_commit = False
         self._hold_in_flight = {}
 
@@ -129,6 +135,20 @@
         self.serving = False
         self.at(downtime_ms, self.lead)
 
+    def lapse_lease(self, duration_ms: int) -> None:
+        """Let the leader's lease lapse and be renewed in the same term.
+
+        Commands in flight are committed; answers of workers still arrive.
+        """
+        service = self.service
+        self.lapsed = True
+
+        def renew() -> None:
+            if service is self.service:
+                self.lapsed = False
+
+        self.at(duration_ms, renew)
+
     def submit(self, job_id: str, *steps: StepSpec) -> None:
         spec = WorkflowSpec(payload="text", steps=steps)
         self.oracle.specs[job_id] = spec
@@ -168,7 +188,7 @@
                 worker.advance(self.now_ms)
             while self._events and self._events[0][0] <= self.now_ms:
                 heapq.heappop(self._events)[2]()
-            if self.serving:
+            if self.serving and not self.lapsed:
                 self._run_step()
 
     def _run_step(self) -> None:
@@ -243,6 +263,9 @@
             lost = NoAnswer(sent=True, reason="no answer")
             self.at(self.settings.order_timeout_ms, lambda: answer(lost))
             return
+        if self._is_refused(worker, incarnation):
+            self.at(1, lambda: answer(OtherWorker()))
+            return
         first = worker.renew_lease(renewal, self.now_ms)
         wait_ms = 1 if worker.has_ends else max(1, renewal.wait_ms // 4)
 
@@ -282,13 +305,17 @@
                     )
 
             if self._answers(worker):
-                result = worker.execute(order, self.now_ms)
+                result: OrderResult = OtherWorker()
+                if not self._is_refused(worker, incarnation):
+                    result = worker.execute(order, self.now_ms)
                 self.at(2, lambda a=answer, r=result: a(r))
                 continue
             if self.random.random() < self.faults.late:
 
-                def late(order: object = order) -> None:
-                    if worker.up:
+                def late(
+                    order: object = order, incarnation: int = incarnation
+                ) -> None:
+                    if worker.up and not self._is_refused(worker, incarnation):
                         worker.execute(order, self.now_ms)
 
                 self.at(self.random.randint(2_000, 12_000), late)
@@ -297,6 +324,13 @@
                 self.settings.order_timeout_ms, lambda a=answer, r=lost: a(r)
             )
 
+    def _is_refused(self, worker: FakeWorker, incarnation: int) -> bool:
+        """Return whether a worker refuses calls to an incarnation."""
+        return (
+            self.workers_check_incarnation
+            and incarnation != worker.incarnation
+        )
+
     def _answers(self, worker: FakeWorker) -> bool:
         return (
             worker.up
