--- a/src/sardinespool/groups/interfaces.py
+++ b/src/sardinespool/groups/interfaces.py
@@ -45,10 +45,17 @@
     """Volatile state and request handling of a group, on its leader."""
 
     def become_leader(self, now: Instant) -> None:
-        """Start serving; the machine has applied every committed command."""
+        """Start serving; called once per term that this member leads.
+
+        The machine has applied every command of earlier terms and none of
+        this term.
+        """
 
     def step_down(self) -> None:
-        """Discard the volatile state."""
+        """Discard the volatile state; this member no longer leads the term.
+
+        Not called when the lease only lapses.
+        """
 
     def handle(
         self, request: Request, now: Instant
@@ -64,7 +71,10 @@
     def build_reply(
         self, request: Request, result: Reply, now: Instant
     ) -> Reply:
-        """Return the reply to a request whose proposal was applied."""
+        """Return the reply to a request whose proposal was applied.
+
+        Called after `on_applied`, and only if the reply can be sent.
+        """
 
     def tick(self, now: Instant) -> list[CommandBody]:
         """Return the commands that are due at this time.
@@ -75,4 +85,7 @@
     def on_applied(
         self, body: CommandBody, result: Reply, now: Instant
     ) -> None:
-        """Process the result of a command that `tick` returned."""
+        """Process the result of a command of this term.
+
+        Called for each applied command, even if its sender gets no reply.
+        """
