Sync the files of a group when they are loaded

The next replica took them for persisted and acknowledged the leader's entries without a write of its own. A power loss then removed entries that counted towards a quorum, let a member vote twice in a term, or left two unsynced records of which only the later one was kept: a log that looks damaged, so that the member could not start again. Callers would have missed what had been acknowledged.

Loading a group now syncs the names of the folder, of its parent, and the last segment before the state is returned.

--- a/src/sardinespool/storage/group_store.py
+++ b/src/sardinespool/storage/group_store.py
@@ -17,6 +17,7 @@
 from sardinespool.replication.state import Snapshot
 from sardinespool.storage.checksummed_file import read_checksummed
 from sardinespool.storage.checksummed_file import write_checksummed
+from sardinespool.storage.files import sync_folder
 from sardinespool.storage.folder_lock import FolderLock
 from sardinespool.storage.segmented_log import SegmentedLog
 from sardinespool.storage.snapshot_store import SnapshotStore
@@ -40,6 +41,7 @@
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
         self._lock = FolderLock(folder)
         self._hard_state_path = folder / "hardstate"
         self._log = SegmentedLog(folder)
@@ -62,6 +64,10 @@
             A file can't be read or written.
         """
         try:
+            # A process that was killed may have left names and records that
+            # are not synced. From now on, the replica answers for them.
+            sync_folder(self._folder.parent)
+            sync_folder(self._folder)
             snapshot = self._snapshots.load()
             hard_state = self._load_hard_state()
             entries = self._log.load()
--- a/src/sardinespool/storage/segmented_log.py
+++ b/src/sardinespool/storage/segmented_log.py
@@ -63,7 +63,7 @@
         return self._first_index if self._terms else None
 
     def load(self) -> list[Entry]:
-        """Read all segments and return the current entries.
+        """Read all segments, sync the last one, return the current entries.
 
         An incomplete write at the end of the log is truncated.
 
@@ -84,6 +84,7 @@
         self._terms = [entry.term for entry in entries]
         if paths:
             self._descriptor = os.open(paths[-1], os.O_WRONLY | os.O_APPEND)
+            os.fdatasync(self._descriptor)
         else:
             self.rotate()
         return entries
