Sync each removal of a log segment

Each of the removals may be kept or lost by a power loss, so the log could hold segments 1 and 3 without 2.

--- a/src/sardinespool/storage/segmented_log.py
+++ b/src/sardinespool/storage/segmented_log.py
@@ -144,15 +144,13 @@
         """Remove the oldest segments without entries above `index`.
 
         Segments are removed strictly from the oldest on, since a `TRUNCATE`
-        record also applies to entries in older segments.
+        record also applies to entries in older segments. Each removal is
+        synced, as a power loss may undo an earlier one but not a later one.
         """
-        removed = False
         while len(self._segments) > 1:
             if self._segments[0].last_index > index:
                 break
             self._segments.pop(0).path.unlink()
-            removed = True
-        if removed:
             sync_folder(self._folder)
         removed_count = min(
             len(self._terms), max(0, index - self._first_index)
--- a/testing/storage/test_power_loss.py
+++ b/testing/storage/test_power_loss.py
@@ -152,3 +152,35 @@
         disk.hard_state = loaded.hard_state
         disk.snapshot = loaded.snapshot
         disk.entries = {item.index: item for item in loaded.entries}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_power_loss_while_segments_are_removed(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against a log that lacks a segment between two others.
+
+    The member could not start again: the log would look damaged.
+    """
+    chance = random.Random(seed)
+    files = PowerLossFiles(tmp_path, monkeypatch)
+    store = GroupStore(tmp_path)
+    store.load()
+    for batch in (
+        [Persist(None, entries(1, 12))],
+        [snapshot(10)],
+        [Persist(None, entries(13, 16))],
+        [snapshot(11)],
+        [Persist(None, entries(17, 20))],
+    ):
+        store.persist(batch)
+    files.calls_until_power_loss = 7 + seed % 6
+    with contextlib.suppress(PowerLossError):
+        store.persist([snapshot(20)])
+    files.calls_until_power_loss = None
+    store.close()
+    files.lose_power(tmp_path, chance)
+    found = load_state(tmp_path)
+    assert found.snapshot in (snapshot(11).snapshot, snapshot(20).snapshot)
+    base = found.snapshot.index
+    assert found.entries == (entries(12, 20) if base == 11 else ())
