--- a/src/sardinespool/storage/segmented_log.py
+++ b/src/sardinespool/storage/segmented_log.py
@@ -63,7 +63,7 @@
         return self._first_index if self._terms else None
 
     def load(self) -> list[Entry]:
-        """Read all segments and return the current entries.
+        """Read all segments, sync the last one, return the current entries.
 
         An incomplete write at the end of the log is truncated.
 
@@ -84,6 +84,7 @@
         self._terms = [entry.term for entry in entries]
         if paths:
             self._descriptor = os.open(paths[-1], os.O_WRONLY | os.O_APPEND)
+            os.fdatasync(self._descriptor)
         else:
             self.rotate()
         return entries
@@ -143,15 +144,13 @@
         """Remove the oldest segments without entries above `index`.
 
         Segments are removed strictly from the oldest on, since a `TRUNCATE`
-        record also applies to entries in older segments.
+        record also applies to entries in older segments. Each removal is
+        synced, as a power loss may undo an earlier one but not a later one.
         """
-        removed = False
         while len(self._segments) > 1:
             if self._segments[0].last_index > index:
                 break
             self._segments.pop(0).path.unlink()
-            removed = True
-        if removed:
             sync_folder(self._folder)
         removed_count = min(
             len(self._terms), max(0, index - self._first_index)
