Answer the requests that have arrived when a listener stops

Seen by callers: at the end of a process's shutdown, a request on an open keep-alive connection was passed on and its connection then closed without an answer. A request whose last byte had arrived, on a keep-alive connection or on one that was not accepted yet, was met with a reset; a pipelined one that had been read ahead was dropped.

Cause: HttpListener.stop waits for the requests in progress, then closes connection by connection and awaits the end of each (Tornado's close_all_connections). During these awaits the other connections still read and dispatch requests, and nobody waits for these. Bytes that the kernel holds at that moment were not looked at, and the accept queue was discarded. Besides, the wait had no bound: a client that does not read a large answer kept the process until it was killed, and so did a handler.

Change: stop accepts what is queued, and then waits until no request has been dispatched for some passes of the event loop, each of which reads all sockets. A request that has begun to arrive gets the linger time for its rest. All connections are then closed in one step without an await. The last response of a connection says "Connection: close", one before a request that was read ahead doesn't. stop takes a limit, after which what is left is aborted.

--- a/src/sardinespool/transport/http_server.py
+++ b/src/sardinespool/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server that passes complete requests to a handler."""
 
 import asyncio
+import contextlib
 import dataclasses
 import http.client
 import ssl
@@ -11,6 +12,7 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.iostream import BaseIOStream
 from tornado.netutil import bind_sockets
 
 from sardinespool.settings.addresses import split_address
@@ -26,6 +28,8 @@
 _READ_TIMEOUT_S = 30.0
 LINGER_TIMEOUT_S = 1.0
 """Exceeds the round-trip time of any caller that is still sending."""
+_SETTLE_PASSES = 10
+"""Passes of the event loop from an accepted connection to its request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +85,8 @@
         self._handler = handler
         self._limits = limits
         self._in_progress: set[asyncio.Task[None]] = set()
+        self._receiving: set[_RequestReceiver] = set()
+        self._received = asyncio.Event()
         self._closing = False
         self._server = _WaitingServer(
             self,
@@ -111,7 +117,6 @@
     def close_after_responses(self) -> None:
         """Close each connection after its next response from now on."""
         self._closing = True
-        self._server.conn_params.no_keep_alive = True
 
     async def wait_for_connections(
         self, limit_s: float = LINGER_TIMEOUT_S
@@ -130,25 +135,72 @@
         except TimeoutError:
             pass
 
-    async def stop(self) -> None:
+    async def stop(self, limit_s: float | None = None) -> None:
         """Stop listening and close all connections.
 
-        Requests in progress are completed first.
+        Requests that have arrived are completed first.
+
+        Parameters
+        ----------
+        limit_s : float or None
+            Maximum wait, after which requests are aborted; None for no limit.
         """
         self.close_after_responses()
         self._server.stop()
-        while self._in_progress:
-            await asyncio.wait(self._in_progress)
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._finish_requests()
+        except TimeoutError:
+            for task in self._in_progress:
+                task.cancel()
+        # No other task runs between the last check and the end of this loop,
+        # so that no request is dispatched whose connection is then closed.
+        for stream in self._server.open_streams:
+            stream.close()
         await self._server.close_all_connections()
+        if self._in_progress:
+            await asyncio.wait(self._in_progress)
+
+    async def _finish_requests(self) -> None:
+        """Wait until no request is in progress or about to be dispatched."""
+        try:
+            async with asyncio.timeout(LINGER_TIMEOUT_S):
+                await self._settle(include_receiving=True)
+        except TimeoutError:
+            # A client may have stalled within a request.
+            await self._settle(include_receiving=False)
+
+    async def _settle(self, include_receiving: bool) -> None:
+        quiet_passes = 0
+        while quiet_passes < _SETTLE_PASSES:
+            quiet_passes += 1
+            await asyncio.sleep(0)
+            if self._in_progress:
+                quiet_passes = 0
+                await asyncio.wait(self._in_progress)
+            elif self._receiving and include_receiving:
+                quiet_passes = 0
+                self._received.clear()
+                await self._received.wait()
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request on a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
         return _RequestReceiver(self, request_conn)
 
+    def add_receiving(self, receiver: "_RequestReceiver") -> None:
+        """Note that a request has begun to arrive."""
+        self._receiving.add(receiver)
+
+    def discard_receiving(self, receiver: "_RequestReceiver") -> None:
+        """Note that a request has arrived or that its connection ended."""
+        self._receiving.discard(receiver)
+        self._received.set()
+
     def respond(
-        self, connection: httputil.HTTPConnection, received: ReceivedRequest
+        self, connection: HTTP1Connection, received: ReceivedRequest
     ) -> None:
         """Start a task that responds to a request."""
         task = asyncio.create_task(self._respond(connection, received))
@@ -156,7 +208,7 @@
         task.add_done_callback(self._in_progress.discard)
 
     async def _respond(
-        self, connection: httputil.HTTPConnection, received: ReceivedRequest
+        self, connection: HTTP1Connection, received: ReceivedRequest
     ) -> None:
         response = await self._handler(received)
         headers = httputil.HTTPHeaders()
@@ -166,8 +218,10 @@
         is_head = received.request.method == "HEAD"
         if not without_body and not (is_head and "Content-Length" in headers):
             headers["Content-Length"] = str(len(response.body))
-        if self._closing:
-            # The request may have arrived before the shutdown began.
+        stream = connection.stream
+        # A pipelined request that was read ahead is answered first.
+        is_last = self._closing and not stream._read_buffer_size
+        if is_last:
             headers["Connection"] = "close"
         start_line = httputil.ResponseStartLine(
             "HTTP/1.1",
@@ -175,16 +229,17 @@
             http.client.responses.get(response.status, "Unknown"),
         )
         body = b"" if is_head or without_body else response.body
-        assert isinstance(connection, HTTP1Connection)
         try:
             connection.write_headers(start_line, headers, body)
             # The future of `write_headers` may stay pending after the
             # connection is closed; that of an empty write always completes.
-            flushed = connection.stream.write(b"")
+            flushed = stream.write(b"")
+            if is_last:
+                await flushed
+                connection.close()
+                return
             connection.finish()
             await flushed
-            if self._closing:
-                connection.close()
         except OSError:
             # The client disconnected; the request itself is complete.
             return
@@ -203,6 +258,19 @@
         super().on_close(server_conn)
         self._connection_closed.set()
 
+    @property
+    def open_streams(self) -> list[BaseIOStream]:
+        """Streams of the open connections."""
+        return [connection.stream for connection in self._connections]
+
+    def stop(self) -> None:
+        """Accept the connections that clients have opened, then stop."""
+        for listening_socket in self._sockets.values():
+            with contextlib.suppress(OSError):
+                while True:
+                    self._handle_connection(*listening_socket.accept())
+        super().stop()
+
     async def wait_for_close(self) -> None:
         """Return once no connection is open."""
         while self._connections:
@@ -214,7 +282,7 @@
     """Collects one request and dispatches it to the listener."""
 
     def __init__(
-        self, listener: HttpListener, connection: httputil.HTTPConnection
+        self, listener: HttpListener, connection: HTTP1Connection
     ) -> None:
         self._listener = listener
         self._connection = connection
@@ -232,6 +300,7 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
         self._headers = headers
+        self._listener.add_receiving(self)
         declared_length = headers.get("Content-Length", "")
         limit_bytes = self._listener.limits.body_limit_bytes
         if declared_length.isdigit() and (
@@ -261,8 +330,10 @@
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
         self._start_line = None
+        self._listener.discard_receiving(self)
 
     def _dispatch(self, too_large: bool) -> None:
+        self._listener.discard_receiving(self)
         start_line, self._start_line = self._start_line, None
         if start_line is None or self._headers is None:
             return
