End the calls of a stopping front within the grace

Seen by callers: with no leader known, a request sent 3.2 s after the SIGTERM of its front got no answer; the front was killed while it waited.

Cause: a front takes requests until 3.3 s after SIGTERM and longer while another one is in progress, and calls the leader for up to the caller's 3 s, whatever is left of the 6 s until SIGKILL.

Change: from SIGTERM on the timeout of a call is limited to what is left of five sixths of grace_s, which is read from the settings; the listener aborts what is left 0.25 s later. The answer is 503 with Retry-After if nothing was sent, else 504, as at the end of any timeout. Probes of the leader are not limited.

--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -36,6 +36,8 @@
 UNREADY_DELAY_MS = 2_300
 """The load balancer removes a machine after two failed probes, 1 s apart."""
 LINGER_S = 1.0
+LAST_RESPONSES_S = 0.25
+"""Time to send the responses to calls that ended at the shutdown deadline."""
 
 _LOG = get_logger("front")
 
@@ -62,14 +64,14 @@
             names_are_addresses=True,
         )
         self._last_reply_boot_ms: int | None = None
-        self._stopping = False
+        self._shutdown_deadline_boot_ms: int | None = None
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until `stopping` is set, then shut down gracefully."""
         limits = ServerLimits(BODY_LIMIT_BYTES)
         callers = HttpListener(
             self._settings.listen.callers,
-            CallerHandler(self._call, CallerMetrics(self._metrics)),
+            CallerHandler(self.call_for_caller, CallerMetrics(self._metrics)),
             limits,
         )
         status = StatusServer(
@@ -94,18 +96,34 @@
         if probe_task.done():
             # The task ends only by an exception, which this raises.
             await probe_task
-        self._stopping = True
+        self.begin_shutdown()
         _LOG.info("stopping", node=self._settings.node)
         await asyncio.sleep(UNREADY_DELAY_MS / 1000)
         callers.close_after_responses()
         await callers.wait_for_connections(LINGER_S)
-        await callers.stop()
+        await callers.stop(
+            self._shutdown_remaining_ms / 1000 + LAST_RESPONSES_S
+        )
         probe_task.cancel()
         await readiness.stop()
         await status.stop()
         await self._connector.close()
         _LOG.info("stopped", node=self._settings.node)
 
+    def begin_shutdown(self) -> None:
+        """Report "not ready", and end all calls before the grace ends."""
+        self._shutdown_deadline_boot_ms = (
+            system_clock.now().boot_ms + self._settings.shutdown_timeout_ms
+        )
+
+    async def call_for_caller(
+        self, request: Request, timeout_ms: int
+    ) -> Reply:
+        """Call the group with a timeout that ends within the grace."""
+        if self._shutdown_deadline_boot_ms is not None:
+            timeout_ms = min(timeout_ms, self._shutdown_remaining_ms)
+        return await self._call(request, timeout_ms)
+
     async def _call(self, request: Request, timeout_ms: int) -> Reply:
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
         return await self._client.call(request, deadline_unix_ms)
@@ -135,11 +153,17 @@
                     has_manifest = reply.manifest_version >= 0
             await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
 
+    @property
+    def _shutdown_remaining_ms(self) -> int:
+        deadline_boot_ms = self._shutdown_deadline_boot_ms
+        assert deadline_boot_ms is not None
+        return max(0, deadline_boot_ms - system_clock.now().boot_ms)
+
     @property
     def _is_ready(self) -> bool:
         now_boot_ms = system_clock.now().boot_ms
         return (
-            not self._stopping
+            self._shutdown_deadline_boot_ms is None
             and self._last_reply_boot_ms is not None
             and now_boot_ms - self._last_reply_boot_ms < REPLY_MAX_AGE_MS
         )
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -16,6 +16,8 @@
 DEFAULT_LEASE_LIMIT_MS = 6_000
 DEFAULT_JOB_RETENTION_S = 120
 """Retention of ended jobs if the settings have no ``status_s``."""
+DEFAULT_GRACE_S = 6
+"""Time from SIGTERM to SIGKILL if the settings have no ``grace_s``."""
 CLOCK_JUMP_MARGIN_MS = 30_000
 """Added to the retention of ended jobs, as the wall clock may jump ahead."""
 STATUS_PORT = 9464
@@ -84,6 +86,16 @@
             + CLOCK_JUMP_MARGIN_MS,
         )
 
+    @property
+    def shutdown_timeout_ms(self) -> int:
+        """Time from SIGTERM until the last calls of callers have to end.
+
+        The last sixth of the grace is left for their responses, also on a
+        slow machine.
+        """
+        grace_s = self.bounds.get("grace_s", DEFAULT_GRACE_S)
+        return int(grace_s * 1_000 * 5 / 6)
+
     @property
     def status_address(self) -> str:
         """Address of the metrics, health and state dump endpoints."""
