--- a/testing/platform/test_front_shutdown.py
+++ b/testing/platform/test_front_shutdown.py
@@ -12,7 +12,6 @@
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
 from sardinespool.messages.workflows import ReadWorkflow
-from sardinespool.messages.workflows import WorkflowState
 from sardinespool.messages.workflows import WorkflowStatus
 from sardinespool.platform.front_process import FrontProcess
 from sardinespool.platform.settings import Listen
@@ -29,7 +28,7 @@
 
 async def answer_late(request: Request) -> Reply:
     await asyncio.sleep(LEADER_DELAY_S)
-    return WorkflowStatus(job_id="", state=WorkflowState.RUNNING)
+    return WorkflowStatus(job_id="", state="running")
 
 
 async def never_answer(request: Request) -> Reply:
@@ -66,6 +65,7 @@
                 path = f"/q/{name}-{number}"
                 writer.write(get(path))
                 answer = await read_answer(reader)
+                assert answer.startswith(b"HTTP/1.1 200 ")
                 answered.add(path)
                 closes = b"Connection: close" in answer
         writer.close()
@@ -93,6 +93,7 @@
             for request in front.leader.received
             if isinstance(request, ReadWorkflow)
         }
+        assert len(answered) > CALLERS
         assert passed_on - answered == set()
 
 
