Write log lines whole and go on after brief errors

Cause of the cut lines: the writer passed up to 200 lines to one write, and the capture keeps the first 8,192 bytes of a write and loses the rest. The missing bytes appear nowhere, and both parts of a cut line are from one process. The writer continues partial writes, so it had been told that all bytes were written. Ruled out: the 64 KiB of a pipe, partial writes and processes that share an output.

A write now has at most PIPE_BUF (4 KiB) of whole lines, which a pipe keeps in one piece. A longer line is written in several writes.

Separately, any error ended the writer thread for good: EAGAIN of a non-blocking output that is full once, or a full disk. Such an output is now retried by the writer thread, after poll or 100 ms; the queue stays bounded and drops are counted as before. Only EPIPE and EBADF end the thread.

--- a/src/sardinespool/observability/json_log_writer.py
+++ b/src/sardinespool/observability/json_log_writer.py
@@ -3,11 +3,14 @@
 A thread writes the lines from a bounded queue, so that an output without a
 reader neither blocks the process nor uses more memory than the bound. The
 number of lines of each event per second is limited; a log line reports how
-many were dropped.
+many were dropped. A write contains whole lines unless one line is longer than
+a write.
 """
 
 import collections
+import errno
 import os
+import select
 import threading
 import time
 from typing import Any
@@ -19,8 +22,11 @@
 EVENT_LINES_PER_S_MAX = 300
 """Maximum number of lines of one event in a second; the largest deployment
 starts 680 tasks per second at peak and 120 on average."""
-BATCH_LINES_MAX = 200
-"""Maximum number of lines in one write."""
+WRITE_BYTES_MAX = select.PIPE_BUF
+"""Maximum size of a write. A pipe keeps writes of this size in one piece, and
+readers that take each write as a message often have small buffers."""
+RETRY_INTERVAL_MS = 100
+"""Interval between attempts to write to an output that refuses data."""
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -119,17 +125,42 @@
     def _write_lines(self) -> None:
         while True:
             self._available_lines.acquire()
-            batch: list[bytes] = []
-            while self._queue and len(batch) < BATCH_LINES_MAX:
-                batch.append(self._queue.popleft())
-            unwritten = b"".join(batch)
-            while unwritten:
-                try:
-                    unwritten = unwritten[
-                        os.write(self._descriptor, unwritten) :
-                    ]
-                except OSError:
-                    # The reader is gone, so the error can't be logged either.
-                    return
+            if not self._write(self._next_batch()):
+                return
             if self._closed and not self._queue:
                 return
+
+    def _next_batch(self) -> bytes:
+        """Remove and return the queued lines that fit into one write."""
+        batch: list[bytes] = []
+        size_bytes = 0
+        while self._queue:
+            size_bytes += len(self._queue[0])
+            if batch and size_bytes > WRITE_BYTES_MAX:
+                break
+            batch.append(self._queue.popleft())
+        return b"".join(batch)
+
+    def _write(self, unwritten: bytes) -> bool:
+        """Write all bytes; return False if the output has no reader left."""
+        while unwritten:
+            try:
+                written = os.write(
+                    self._descriptor, unwritten[:WRITE_BYTES_MAX]
+                )
+            except BlockingIOError:
+                self._wait_until_writable()
+            except OSError as error:
+                if error.errno in (errno.EPIPE, errno.EBADF):
+                    # The error can't be logged either.
+                    return False
+                # A full disk, for example, may accept data again.
+                time.sleep(RETRY_INTERVAL_MS / 1_000)
+            else:
+                unwritten = unwritten[written:]
+        return True
+
+    def _wait_until_writable(self) -> None:
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        poll.poll(RETRY_INTERVAL_MS)
