--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -4,6 +4,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.answer_handler import AnswerHandler
+from sardinespool.dispatch.end_queue import EndQueue
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
@@ -26,7 +27,6 @@
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import RecordRuns
-from sardinespool.messages.workflows import RunEnd
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.messages.workflows import RunsRecorded
 from sardinespool.observability.logs import get_logger
@@ -79,17 +79,13 @@
         )
         self.orders = OrderQueue(self.fleet, settings)
         self._proposed: RecordRuns | None = None
-        self._pending_ends: list[RunEnd] = []
-        self._ended_runs: list[tuple[WorkerState, RunState]] = []
-        self._committing_runs: list[tuple[WorkerState, RunState]] = []
-        self._listed_ends: list[tuple[WorkerState, int]] = []
-        self._committing_ends: list[tuple[WorkerState, int]] = []
+        self._ends = EndQueue()
         self._planned_runs: PlannedRuns = []
 
     @property
     def has_work(self) -> bool:
         """Whether a planning pass may have something to record."""
-        return bool(self._pending_ends) or bool(self._machine.table.ready)
+        return self._ends.has_pending or bool(self._machine.table.ready)
 
     def begin(self, fencing_token: int, now: Instant) -> None:
         """Start leading with a fencing token above all earlier ones."""
@@ -199,10 +195,7 @@
             return
         run.phase = RunPhase.ENDED
         worker.pending.pop(run.key, None)
-        self._pending_ends.append(
-            RunEnd(run.task_key, run.run, outcome, run.checkpoint)
-        )
-        self._ended_runs.append((worker, run))
+        self._ends.add(worker, run, outcome)
         self._metrics.runs.inc(outcome=outcome)
         _LOG.info(
             "run ended",
@@ -217,8 +210,7 @@
 
     def defer_acknowledgement(self, worker: WorkerState) -> None:
         """Delay the next lease renewal until listed ends are committed."""
-        worker.ends_commit_pending = True
-        self._listed_ends.append((worker, worker.last_listed_end))
+        self._ends.defer_acknowledgement(worker)
 
     def handle_renewal_result(
         self,
@@ -273,9 +265,7 @@
         self._answers.expire_leases(now)
         self._planner.vacate_draining_workers(now, self)
         self._planner.rebalancer.rebalance(now, self)
-        ends, self._pending_ends = tuple(self._pending_ends), []
-        self._committing_runs, self._ended_runs = self._ended_runs, []
-        self._committing_ends, self._listed_ends = self._listed_ends, []
+        ends = self._ends.take()
         assignments, self._planned_runs = self._planner.assign(now)
         opened = self._planner.due_occurrences(now)
         forgotten = self._planner.forgotten_jobs(now)
@@ -311,8 +301,7 @@
         self._proposed = None
         self._planner.request_pass()
         self._metrics.ready_steps.set(len(self._machine.table.ready))
-        for worker, run in self._committing_runs:
-            worker.remove_run(run)
+        self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
         for position, (worker, run) in enumerate(self._planned_runs):
             if position in result.refused:
@@ -381,19 +370,12 @@
                         self.stop_run(worker, run, "gang member ended")
 
     def _acknowledge_listed_ends(self) -> None:
-        for worker, number in self._committing_ends:
-            worker.acknowledged_end = max(worker.acknowledged_end, number)
-            worker.ends_commit_pending = False
+        for worker in self._ends.acknowledge():
             self._wake(worker.worker_id)
-        self._committing_ends = []
 
     def _reset(self) -> None:
         self._proposed = None
-        self._pending_ends = []
-        self._ended_runs = []
-        self._committing_runs = []
-        self._listed_ends = []
-        self._committing_ends = []
+        self._ends.reset()
         self._planned_runs = []
         self._planner.reset()
         self._health.reset()
