Log what tells the causes of a failed job apart

Jobs are shown as failed though no task failed so often, and engineers on call have only the logs. These did not show which run decided, nor whether an end had been recorded before, nor what a new leader started from.

- `job ended` with state `failed` names the decisive task and run, the number of failed runs counted for the task or its gang, and the limit of the queue in force.
- `run ended` has the number under which the worker lists the end, and `repeated`, decided from the replicated state: the task is not assigned with this run any more.
- `dispatch begins`: fencing token, loaded workers and runs, and whether the member had served in the same term.
- `result of an unknown planning command`: the applied command is not the one that the dispatcher waits for.
`Dispatcher.recorded` gets the applied command for this; it is compared by value, as it is decoded from the log.
- `assigned runs are not tracked`: every 5 s, with a count and one example.

No decision changes. The lines stand in `dispatch/run_log.py`. `explain` shows the two lines about a leader as context of a job.

Each new line occurs once per leadership, command or 5 s; the others gain fields.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -43,6 +43,7 @@
         run: RunState,
         outcome: RunOutcome,
         reason: str,
+        listed_number: int = 0,
     ) -> None:
         """Record the end of a run."""
 
@@ -340,5 +341,7 @@
             )
         if row.checkpoint:
             run.checkpoint = row.checkpoint
-        self._control.end_run(worker, run, row.outcome, "reported")
+        self._control.end_run(
+            worker, run, row.outcome, "reported", listed_number=row.number
+        )
         self._health.run_ended(worker, run, row.outcome, now)
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -171,7 +171,7 @@
     ) -> None:
         """Apply the result of a committed planning command."""
         if isinstance(body, RecordRuns) and isinstance(result, RunsRecorded):
-            self._dispatcher.recorded(result, now)
+            self._dispatcher.recorded(body, result, now)
 
     def _submit(self, request: SubmitWorkflow) -> ImmediateReply | Proposal:
         queue, job_id = self._machine.manifest.resolve(
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch import run_log
 from sardinespool.dispatch.answer_handler import AnswerHandler
 from sardinespool.dispatch.end_queue import EndQueue
 from sardinespool.dispatch.fleet import Fleet
@@ -14,6 +15,7 @@
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import RenewLeaseResult
 from sardinespool.dispatch.pace_controller import PaceController
+from sardinespool.dispatch.planner import CLEANUP_INTERVAL_MS
 from sardinespool.dispatch.planner import PlannedRuns
 from sardinespool.dispatch.planner import Planner
 from sardinespool.dispatch.run_state import RunPhase
@@ -81,6 +83,8 @@
         self._proposed: RecordRuns | None = None
         self._ends = EndQueue()
         self._planned_runs: PlannedRuns = []
+        self._begun_token = 0
+        self._check_due_boot_ms = 0
 
     @property
     def has_work(self) -> bool:
@@ -95,6 +99,13 @@
         self._model.restore(self._machine.estimates, now.boot_ms)
         self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
         self.fleet.begin(now)
+        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
+        run_log.log_leadership(
+            fencing_token,
+            self.fleet.workers,
+            served_before=fencing_token == self._begun_token,
+        )
+        self._begun_token = fencing_token
         self._stop_runs_of_ended_jobs()
         for worker_id in self.fleet.workers:
             self._wake(worker_id)
@@ -189,23 +200,20 @@
         run: RunState,
         outcome: RunOutcome,
         reason: str,
+        listed_number: int = 0,
     ) -> None:
-        """Queue the end of a run; its reservation stays until the commit."""
+        """Queue the end of a run; its reservation stays until the commit.
+
+        `listed_number` is the number under which the worker lists the end.
+        """
         if run.phase is RunPhase.ENDED:
             return
         run.phase = RunPhase.ENDED
         worker.pending.pop(run.key, None)
         self._ends.add(worker, run, outcome)
         self._metrics.runs.inc(outcome=outcome)
-        _LOG.info(
-            "run ended",
-            task=run.task_key,
-            run=run.run,
-            worker=worker.worker_id,
-            outcome=outcome,
-            reason=reason,
-            percent=run.percent,
-            pace=run.pace,
+        run_log.log_run_ended(
+            self._machine.table, worker, run, outcome, reason, listed_number
         )
 
     def defer_acknowledgement(self, worker: WorkerState) -> None:
@@ -269,6 +277,7 @@
         assignments, self._planned_runs = self._planner.assign(now)
         opened = self._planner.due_occurrences(now)
         forgotten = self._planner.forgotten_jobs(now)
+        self._check_tracked_runs(now)
         if not (ends or assignments or opened or forgotten):
             self._acknowledge_listed_ends()
             return None
@@ -293,9 +302,15 @@
             return None
         return estimates
 
-    def recorded(self, result: RunsRecorded, now: Instant) -> None:
+    def recorded(
+        self, applied: RecordRuns, result: RunsRecorded, now: Instant
+    ) -> None:
         """Apply the result of the command returned by `plan`."""
         command = self._proposed
+        if applied is not command and applied != command:
+            run_log.log_unknown_result(
+                applied, result, has_proposed=command is not None
+            )
         if command is None:
             return
         self._proposed = None
@@ -309,18 +324,7 @@
                 continue
             run.committed = True
             run.ordered_boot_ms = now.boot_ms
-            _LOG.info(
-                "assigned",
-                task=run.task_key,
-                run=run.run,
-                worker=worker.worker_id,
-                life=worker.description.incarnation,
-                token=self.orders.fencing_token,
-                pace=run.target_pace,
-                free_millicores=worker.free_millicores,
-                leftover_millicores=worker.leftover_millicores,
-                report_age_ms=now.boot_ms - worker.last_answer_boot_ms,
-            )
+            run_log.log_assigned(worker, run, self.orders.fencing_token, now)
             if run.task is not None:
                 run.checkpoint = run.task.checkpoint
             if (
@@ -348,12 +352,8 @@
                 queue=workflow.queue.name, state=workflow.state
             )
             self._metrics.completion_ms.observe(age_ms)
-            _LOG.info(
-                "job ended",
-                job=job_id,
-                queue=workflow.queue.name,
-                state=workflow.state,
-                age_ms=age_ms,
+            run_log.log_job_ended(
+                self._machine, workflow, command.ends, age_ms
             )
             self.stop_job(job_id, f"job {workflow.state}")
         for end in command.ends:
@@ -369,6 +369,16 @@
                     if run.step is task.step:
                         self.stop_run(worker, run, "gang member ended")
 
+    def _check_tracked_runs(self, now: Instant) -> None:
+        if now.boot_ms < self._check_due_boot_ms:
+            return
+        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
+        run_log.log_untracked_runs(
+            self._machine.table,
+            self.fleet.workers,
+            self._ends.run_keys,
+        )
+
     def _acknowledge_listed_ends(self) -> None:
         for worker in self._ends.acknowledge():
             self._wake(worker.worker_id)
--- a/src/sardinespool/dispatch/end_queue.py
+++ b/src/sardinespool/dispatch/end_queue.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import RunEnd
 from sardinespool.messages.workflows import RunOutcome
@@ -27,6 +28,13 @@
         """Whether an end waits for the next command."""
         return bool(self._pending_ends)
 
+    @property
+    def run_keys(self) -> set[RunKey]:
+        """Runs whose ends are not committed."""
+        return {
+            run.key for _, run in (*self._ended_runs, *self._committing_runs)
+        }
+
     def add(
         self, worker: WorkerState, run: RunState, outcome: RunOutcome
     ) -> None:
--- a/src/sardinespool/observability/history.py
+++ b/src/sardinespool/observability/history.py
@@ -24,7 +24,13 @@
 """Lines of two threads may be out of order by less than this; a boot clock
 that goes back further shows that the machine was rebooted."""
 LEADERSHIP_EVENTS = frozenset(
-    ("serving", "no longer serving", "leadership changed")
+    (
+        "serving",
+        "no longer serving",
+        "leadership changed",
+        "dispatch begins",
+        "result of an unknown planning command",
+    )
 )
 CONTEXT_MS = 5_000
 """Time before the first line of an id in which changes of leaders and workers
--- a/testing/observability/test_history.py
+++ b/testing/observability/test_history.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from sardinespool.observability.history import parse_logs
 from sardinespool.observability.history import select_history
 
@@ -109,6 +111,27 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "event",
+    [
+        "serving",
+        "no longer serving",
+        "leadership changed",
+        "dispatch begins",
+        "result of an unknown planning command",
+    ],
+)
+def test_changes_of_leader_are_context(event: str) -> None:
+    """Guards against failed jobs explained without what their leader did."""
+    raw_lines = (
+        json_log_line("core", 10, 1_010, "job accepted", job="ab12"),
+        json_log_line("core", 20, 1_020, event),
+        json_log_line("core", 30, 1_030, "job ended", job="ab12"),
+    )
+    history = select_history("ab12", parse_logs(raw_lines).lines)
+    assert [line.event for line in history if line.is_context] == [event]
+
+
 def test_unreadable_lines_are_counted_and_prefixes_ignored() -> None:
     """Guards against a malformed line that prevents parsing the rest."""
     parsed = parse_logs(
