Limit log lines by event and level

Lines that explain a failed job could be missing in the logs of busy cores: all ends of runs shared a limit of 300 lines a second.

The limit now counts each event and level, and the end of a run that failed or is repeated is a warning. Ends of other runs no longer displace it. The volume stays bounded: at most 300 lines of an event and level in a second, and 5,000 in the queue. `log lines dropped` has the level in `of_level`.

--- a/src/sardinespool/dispatch/run_log.py
+++ b/src/sardinespool/dispatch/run_log.py
@@ -92,7 +92,11 @@
     listed_number : int
         Number under which the worker lists the end; 0 if it does not.
     """
-    _LOG.info(
+    repeated = has_recorded_end(table, run.key)
+    # Lines of a level are limited together; the many ends of other runs must
+    # not displace those that explain a failed job.
+    log = _LOG.warning if outcome == "failed" or repeated else _LOG.info
+    log(
         "run ended",
         task=run.task_key,
         run=run.run,
@@ -100,7 +104,7 @@
         outcome=outcome,
         reason=reason,
         number=listed_number,
-        repeated=has_recorded_end(table, run.key),
+        repeated=repeated,
         percent=run.percent,
         pace=run.pace,
     )
--- a/src/sardinespool/observability/json_log_writer.py
+++ b/src/sardinespool/observability/json_log_writer.py
@@ -2,9 +2,9 @@
 
 A thread writes the lines from a bounded queue, so that an output without a
 reader neither blocks the process nor uses more memory than the bound. The
-number of lines of each event per second is limited; a log line reports how
-many were dropped. A write contains whole lines unless one line is longer than
-a write.
+number of lines of each event and level per second is limited; a log line
+reports how many were dropped. A write contains whole lines unless one line is
+longer than a write.
 """
 
 import collections
@@ -20,8 +20,9 @@
 QUEUE_LINES_MAX = 5_000
 """Maximum number of queued lines; about 1 MB."""
 EVENT_LINES_PER_S_MAX = 300
-"""Maximum number of lines of one event in a second; the largest deployment
-starts 680 tasks per second at peak and 120 on average."""
+"""Maximum number of lines of one event and level in a second; the largest
+deployment starts 680 tasks per second at peak and 120 on average. Warnings
+have their own limit, so that expected events do not displace them."""
 WRITE_BYTES_MAX = select.PIPE_BUF
 """Maximum size of a write. A pipe keeps writes of this size in one piece, and
 readers that take each write as a message often have small buffers."""
@@ -48,7 +49,9 @@
         self._queue: collections.deque[bytes] = collections.deque()
         self._available_lines = threading.Semaphore(0)
         self._current_second = 0
-        self._event_counts: collections.Counter[str] = collections.Counter()
+        self._event_counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._dropped_lines = 0
         self._closed = False
         self._writer_thread = threading.Thread(
@@ -65,8 +68,8 @@
         if second != self._current_second:
             self._report_dropped(now_ms)
             self._current_second = second
-        self._event_counts[event] += 1
-        if self._event_counts[event] <= EVENT_LINES_PER_S_MAX:
+        self._event_counts[event, level] += 1
+        if self._event_counts[event, level] <= EVENT_LINES_PER_S_MAX:
             self._enqueue(now_ms, level, part, event, fields)
 
     def close(self, timeout_s: float = 0.5) -> None:
@@ -79,14 +82,18 @@
         self._writer_thread.join(timeout_s)
 
     def _report_dropped(self, now_ms: int) -> None:
-        for event, count in self._event_counts.items():
+        for (event, level), count in self._event_counts.items():
             if count > EVENT_LINES_PER_S_MAX:
                 self._enqueue(
                     now_ms,
                     "warning",
                     "logs",
                     "log lines dropped",
-                    {"of": event, "count": count - EVENT_LINES_PER_S_MAX},
+                    {
+                        "of": event,
+                        "of_level": level,
+                        "count": count - EVENT_LINES_PER_S_MAX,
+                    },
                 )
         self._event_counts.clear()
         if self._dropped_lines:
--- a/testing/dispatch/test_run_log.py
+++ b/testing/dispatch/test_run_log.py
@@ -253,6 +253,39 @@
     assert fields["number"] == 17
 
 
+@pytest.mark.parametrize(
+    ("outcome", "ended_before", "level"),
+    [
+        ("done", False, "info"),
+        ("stopped", False, "info"),
+        ("failed", False, "warning"),
+        ("failed", True, "warning"),
+        ("done", True, "warning"),
+    ],
+)
+def test_ends_that_explain_a_failed_job_are_warnings(
+    outcome: RunOutcome,
+    ended_before: bool,
+    level: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against decisive ends that share a limit with all others."""
+    leader = Leader()
+    leader.assign(FIRST, 1)
+    if ended_before:
+        leader.end(FIRST, 1, "lost")
+    leader.dispatcher.begin(1, NOW)
+    logged: list[tuple[str, str]] = []
+    for name in ("info", "warning"):
+        monkeypatch.setattr(
+            run_log._LOG,
+            name,
+            lambda event, /, name=name, **_: logged.append((event, name)),
+        )
+    leader.list_end(EndedRun(17, FIRST, 1, outcome, ""))
+    assert ("run ended", level) in logged
+
+
 @pytest.mark.parametrize(
     ("tokens", "served_before"),
     [
--- a/testing/observability/test_json_log_writer.py
+++ b/testing/observability/test_json_log_writer.py
@@ -60,6 +60,32 @@
     assert dropped > 0
 
 
+def test_warnings_are_not_displaced_by_expected_events() -> None:
+    """Guards against failed runs that are missing in the log of a busy core.
+
+    The ends of other runs had used up the limit of the event.
+    """
+    read_descriptor, write_descriptor = os.pipe()
+    parsed_lines: list[dict[str, object]] = []
+    reader_thread = threading.Thread(
+        target=lambda: parsed_lines.extend(read_lines(read_descriptor))
+    )
+    reader_thread.start()
+    lines = JsonLogWriter(write_descriptor, "core-1")
+    for number in range(2 * EVENT_LINES_PER_S_MAX):
+        lines.emit("info", "dispatch", "run ended", {"number": number})
+    for number in range(EVENT_LINES_PER_S_MAX):
+        lines.emit("warning", "dispatch", "run ended", {"number": number})
+    lines.close(timeout_s=30.0)
+    os.close(write_descriptor)
+    reader_thread.join()
+    assert [
+        line["number"]
+        for line in parsed_lines
+        if (line["event"], line["level"]) == ("run ended", "warning")
+    ] == list(range(EVENT_LINES_PER_S_MAX))
+
+
 def test_output_without_reader_does_not_block() -> None:
     """Guards against a process that blocks on its log output."""
     read_descriptor, write_descriptor = os.pipe()
