--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -152,7 +152,7 @@
         """Apply a committed command to the dispatcher."""
         match body, result:
             case RecordRuns(), RunsRecorded():
-                self._dispatcher.recorded(result, now)
+                self._dispatcher.recorded(body, result, now)
             case PutWorker(description=description), _:
                 self._dispatcher.description_committed(description, now)
             case DropWorker(worker_id=worker_id), _:
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch import run_log
 from sardinespool.dispatch.answer_handler import AnswerHandler
+from sardinespool.dispatch.end_queue import EndQueue
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
@@ -13,6 +15,7 @@
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import RenewLeaseResult
 from sardinespool.dispatch.pace_controller import PaceController
+from sardinespool.dispatch.planner import CLEANUP_INTERVAL_MS
 from sardinespool.dispatch.planner import PlannedRuns
 from sardinespool.dispatch.planner import Planner
 from sardinespool.dispatch.run_state import RunPhase
@@ -26,7 +29,6 @@
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import RecordRuns
-from sardinespool.messages.workflows import RunEnd
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.messages.workflows import RunsRecorded
 from sardinespool.observability.logs import get_logger
@@ -79,17 +81,15 @@
         )
         self.orders = OrderQueue(self.fleet, settings)
         self._proposed: RecordRuns | None = None
-        self._pending_ends: list[RunEnd] = []
-        self._ended_runs: list[tuple[WorkerState, RunState]] = []
-        self._committing_runs: list[tuple[WorkerState, RunState]] = []
-        self._listed_ends: list[tuple[WorkerState, int]] = []
-        self._committing_ends: list[tuple[WorkerState, int]] = []
+        self._ends = EndQueue()
         self._planned_runs: PlannedRuns = []
+        self._begun_token = 0
+        self._check_due_boot_ms = 0
 
     @property
     def has_work(self) -> bool:
         """Whether a planning pass may have something to record."""
-        return bool(self._pending_ends) or bool(self._machine.table.ready)
+        return self._ends.has_pending or bool(self._machine.table.ready)
 
     def begin(self, fencing_token: int, now: Instant) -> None:
         """Start leading with a fencing token above all earlier ones."""
@@ -99,6 +99,13 @@
         self._model.restore(self._machine.estimates, now.boot_ms)
         self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
         self.fleet.begin(now)
+        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
+        run_log.log_leadership(
+            fencing_token,
+            self.fleet.workers,
+            served_before=fencing_token == self._begun_token,
+        )
+        self._begun_token = fencing_token
         self._stop_runs_of_ended_jobs()
         for worker_id in self.fleet.workers:
             self._wake(worker_id)
@@ -193,32 +200,25 @@
         run: RunState,
         outcome: RunOutcome,
         reason: str,
+        listed_number: int = 0,
     ) -> None:
-        """Queue the end of a run; its reservation stays until the commit."""
+        """Queue the end of a run; its reservation stays until the commit.
+
+        `listed_number` is the number under which the worker lists the end.
+        """
         if run.phase is RunPhase.ENDED:
             return
         run.phase = RunPhase.ENDED
         worker.pending.pop(run.key, None)
-        self._pending_ends.append(
-            RunEnd(run.task_key, run.run, outcome, run.checkpoint)
-        )
-        self._ended_runs.append((worker, run))
+        self._ends.add(worker, run, outcome)
         self._metrics.runs.inc(outcome=outcome)
-        _LOG.info(
-            "run ended",
-            task=run.task_key,
-            run=run.run,
-            worker=worker.worker_id,
-            outcome=outcome,
-            reason=reason,
-            percent=run.percent,
-            pace=run.pace,
+        run_log.log_run_ended(
+            self._machine.table, worker, run, outcome, reason, listed_number
         )
 
     def defer_acknowledgement(self, worker: WorkerState) -> None:
         """Delay the next lease renewal until listed ends are committed."""
-        worker.ends_commit_pending = True
-        self._listed_ends.append((worker, worker.last_listed_end))
+        self._ends.defer_acknowledgement(worker)
 
     def handle_renewal_result(
         self,
@@ -273,12 +273,11 @@
         self._answers.expire_leases(now)
         self._planner.vacate_draining_workers(now, self)
         self._planner.rebalancer.rebalance(now, self)
-        ends, self._pending_ends = tuple(self._pending_ends), []
-        self._committing_runs, self._ended_runs = self._ended_runs, []
-        self._committing_ends, self._listed_ends = self._listed_ends, []
+        ends = self._ends.take()
         assignments, self._planned_runs = self._planner.assign(now)
         opened = self._planner.due_occurrences(now)
         forgotten = self._planner.forgotten_jobs(now)
+        self._check_tracked_runs(now)
         if not (ends or assignments or opened or forgotten):
             self._acknowledge_listed_ends()
             return None
@@ -303,16 +302,21 @@
             return None
         return estimates
 
-    def recorded(self, result: RunsRecorded, now: Instant) -> None:
+    def recorded(
+        self, applied: RecordRuns, result: RunsRecorded, now: Instant
+    ) -> None:
         """Apply the result of the command returned by `plan`."""
         command = self._proposed
+        if applied is not command and applied != command:
+            run_log.log_unknown_result(
+                applied, result, has_proposed=command is not None
+            )
         if command is None:
             return
         self._proposed = None
         self._planner.request_pass()
         self._metrics.ready_steps.set(len(self._machine.table.ready))
-        for worker, run in self._committing_runs:
-            worker.remove_run(run)
+        self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
         for position, (worker, run) in enumerate(self._planned_runs):
             if position in result.refused:
@@ -320,18 +324,7 @@
                 continue
             run.committed = True
             run.ordered_boot_ms = now.boot_ms
-            _LOG.info(
-                "assigned",
-                task=run.task_key,
-                run=run.run,
-                worker=worker.worker_id,
-                life=worker.description.incarnation,
-                token=self.orders.fencing_token,
-                pace=run.target_pace,
-                free_millicores=worker.free_millicores,
-                leftover_millicores=worker.leftover_millicores,
-                report_age_ms=now.boot_ms - worker.last_answer_boot_ms,
-            )
+            run_log.log_assigned(worker, run, self.orders.fencing_token, now)
             if run.task is not None:
                 run.checkpoint = run.task.checkpoint
             if (
@@ -359,12 +352,8 @@
                 queue=workflow.queue.name, state=workflow.state
             )
             self._metrics.completion_ms.observe(age_ms)
-            _LOG.info(
-                "job ended",
-                job=job_id,
-                queue=workflow.queue.name,
-                state=workflow.state,
-                age_ms=age_ms,
+            run_log.log_job_ended(
+                self._machine, workflow, command.ends, age_ms
             )
             self.stop_job(job_id, f"job {workflow.state}")
         for end in command.ends:
@@ -380,20 +369,23 @@
                     if run.step is task.step:
                         self.stop_run(worker, run, "gang member ended")
 
+    def _check_tracked_runs(self, now: Instant) -> None:
+        if now.boot_ms < self._check_due_boot_ms:
+            return
+        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
+        run_log.log_untracked_runs(
+            self._machine.table,
+            self.fleet.workers,
+            self._ends.run_keys,
+        )
+
     def _acknowledge_listed_ends(self) -> None:
-        for worker, number in self._committing_ends:
-            worker.acknowledged_end = max(worker.acknowledged_end, number)
-            worker.ends_commit_pending = False
+        for worker in self._ends.acknowledge():
             self._wake(worker.worker_id)
-        self._committing_ends = []
 
     def _reset(self) -> None:
         self._proposed = None
-        self._pending_ends = []
-        self._ended_runs = []
-        self._committing_runs = []
-        self._listed_ends = []
-        self._committing_ends = []
+        self._ends.reset()
         self._planned_runs = []
         self._planner.reset()
         self._health.reset()
