Start long-running tasks on suspected workers as a last resort

Cause: a worker on which runs of two jobs fail in a row is set aside for 3 s, and then takes one short task at a time until a run is done. A set-aside worker empties, and on a full fleet its room is the only one, but it was excluded even for tasks that had nowhere else to go.

The new test failed before with "assert {'other': 'w1'} == {'other': 'w1', 'late': 'w0'}".

Change: the time for which a worker is set aside is stored apart from the pause after a refused start, which still excludes the worker. A long-running step that has waited for 3 s may also use workers that are set aside or on probation, after all others; they count for the slot that stays free.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -72,12 +72,12 @@
         self.fleet = Fleet(machine, settings, self.end_run)
         self._model = model = TailModel()
         self._estimates_due_boot_ms = 0
-        self._health = WorkerHealth()
+        self.health = WorkerHealth()
         self._answers = AnswerHandler(
-            self.fleet, settings, PaceController(model), self._health, self
+            self.fleet, settings, PaceController(model), self.health, self
         )
         self._planner = Planner(
-            machine, self.fleet, settings, model, self._health
+            machine, self.fleet, settings, model, self.health
         )
         self.orders = OrderQueue(self.fleet, settings)
         self._proposed: RecordRuns | None = None
@@ -388,4 +388,4 @@
         self._ends.reset()
         self._planned_runs = []
         self._planner.reset()
-        self._health.reset()
+        self.health.reset()
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -231,6 +231,15 @@
 
     def accepts_starts(self, worker: WorkerState, now: Instant) -> bool:
         """Return whether new tasks may be placed on a worker."""
+        return (
+            now.boot_ms >= worker.set_aside_until_boot_ms
+            and self.accepts_starts_as_last_resort(worker, now)
+        )
+
+    def accepts_starts_as_last_resort(
+        self, worker: WorkerState, now: Instant
+    ) -> bool:
+        """Return whether tasks without another worker may be placed on it."""
         description = worker.description
         return (
             worker.answered
--- a/src/sardinespool/dispatch/health.py
+++ b/src/sardinespool/dispatch/health.py
@@ -96,7 +96,7 @@
         self._failed_workers.setdefault(step.key, set()).add(worker.worker_id)
         worker.failed_jobs.add(step.workflow.job_id)
         if worker.on_probation or len(worker.failed_jobs) >= FAILED_JOBS_MAX:
-            worker.avoid_until_boot_ms = now.boot_ms + QUARANTINE_MS
+            worker.set_aside_until_boot_ms = now.boot_ms + QUARANTINE_MS
             worker.on_probation = True
             _LOG.warning(
                 "worker set aside",
@@ -104,5 +104,5 @@
                 cause=cause,
                 task=run.task_key,
                 failed_jobs=len(worker.failed_jobs),
-                until_boot_ms=worker.avoid_until_boot_ms,
+                until_boot_ms=worker.set_aside_until_boot_ms,
             )
--- a/src/sardinespool/dispatch/placer.py
+++ b/src/sardinespool/dispatch/placer.py
@@ -31,6 +31,9 @@
 FAILED_WORKER_PENALTY = 10.0
 """Exceeds all other terms, so that a worker on which a task of the step
 failed is the last choice."""
+LAST_RESORT_PENALTY = 20.0
+"""Exceeds all other terms: a worker that was set aside is chosen after those
+on which a task of the step failed."""
 REMOTE_DATA_PENALTY = 1.0
 """Penalty for a rack without the data of the task, as a share of a worker."""
 
@@ -44,16 +47,27 @@
         Workers of one pool that accept starts.
     best_effort : BestEffortScorer
         Scores workers for best-effort tasks.
+    set_aside : iterable of WorkerState
+        Workers of the pool that were set aside, for steps without another
+        worker.
     """
 
     def __init__(
-        self, workers: Iterable[WorkerState], best_effort: BestEffortScorer
+        self,
+        workers: Iterable[WorkerState],
+        best_effort: BestEffortScorer,
+        set_aside: Iterable[WorkerState] = (),
     ) -> None:
         self._workers = list(workers)
+        self._set_aside = list(set_aside)
         self._best_effort = best_effort
 
     def workers_for(
-        self, step: StepRecord, starved: bool, failed_workers: set[str]
+        self,
+        step: StepRecord,
+        starved: bool,
+        failed_workers: set[str],
+        last_resort: bool = False,
     ) -> Iterator[WorkerState]:
         """Yield a worker for each task of a step.
 
@@ -69,11 +83,17 @@
             throttled.
         failed_workers : set of str
             Workers on which tasks of the step failed; chosen last.
+        last_resort : bool
+            Whether workers that were set aside may be chosen, after all
+            others.
         """
         spec = step.spec
         heap: list[tuple[float, int, WorkerState]] = []
-        for position, worker in enumerate(self._workers):
-            score = self.score_worker(step, worker, starved, failed_workers)
+        workers = self._workers + (self._set_aside if last_resort else [])
+        for position, worker in enumerate(workers):
+            score = self.score_worker(
+                step, worker, starved, failed_workers, last_resort
+            )
             if score is not None:
                 heap.append((-score, position, worker))
         heapq.heapify(heap)
@@ -86,13 +106,15 @@
             if spec.uses_leftover_processors:
                 # An earlier task of the step may have changed the score.
                 score = self.score_worker(
-                    step, worker, starved, failed_workers
+                    step, worker, starved, failed_workers, last_resort
                 )
                 if score is None:
                     continue
                 self._best_effort.record_start(spec, worker)
             yield worker
-            score = self.score_worker(step, worker, starved, failed_workers)
+            score = self.score_worker(
+                step, worker, starved, failed_workers, last_resort
+            )
             if score is not None:
                 heapq.heappush(heap, (-score, position, worker))
 
@@ -116,11 +138,12 @@
         worker: WorkerState,
         starved: bool,
         failed_workers: set[str],
+        last_resort: bool = False,
     ) -> float | None:
         """Return a worker's score for the next task, None if unsuitable."""
         spec = step.spec
         if not worker.fits(spec) or (
-            worker.on_probation and has_finite_run(worker)
+            worker.on_probation and not last_resort and has_finite_run(worker)
         ):
             return None
         labels = worker.description.labels
@@ -146,6 +169,8 @@
             score -= REMOTE_DATA_PENALTY
         if worker.worker_id in failed_workers:
             score -= FAILED_WORKER_PENALTY
+        if worker.on_probation and last_resort:
+            score -= LAST_RESORT_PENALTY
         return score
 
     def _serving_score(
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -35,6 +35,9 @@
 STARVED_RESERVED_MAX = 0.6
 """Reserved share of all processors below which a starved step may start where
 it interferes; from this share on, it keeps waiting for a suitable worker."""
+LAST_RESORT_WAIT_MS = 3_000
+"""Wait after which a long-running step may start on a worker that was set
+aside; its callers count it as missing after 6 s."""
 STARVED_PACE = 10
 """Initial pace in percent of a task of a starved step, until the first list
 of its worker gives the allowed pace."""
@@ -118,10 +121,13 @@
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
+        set_aside: dict[str, list[WorkerState]] = {}
         for worker in self._fleet.workers.values():
+            pool = worker.description.pool
             if self._fleet.accepts_starts(worker, now):
-                pool = worker.description.pool
                 candidates.setdefault(pool, []).append(worker)
+            elif self._fleet.accepts_starts_as_last_resort(worker, now):
+                set_aside.setdefault(pool, []).append(worker)
         self._waiting_since = {
             key: since
             for key, since in self._waiting_since.items()
@@ -131,8 +137,12 @@
             best_effort_demand(ready.values()), now.boot_ms
         )
         placers = {
-            pool: Placer(workers, self._best_effort)
-            for pool, workers in candidates.items()
+            pool: Placer(
+                candidates.get(pool, ()),
+                self._best_effort,
+                set_aside.get(pool, ()),
+            )
+            for pool in candidates.keys() | set_aside.keys()
         }
         place_best_effort = now.boot_ms >= self._best_effort_due_boot_ms
         if place_best_effort:
@@ -261,6 +271,14 @@
             and not self._is_starved(step, now)
         )
 
+    def _has_no_other_worker(self, step: StepRecord, now: Instant) -> bool:
+        """Return whether a long-running step has waited long in vain."""
+        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
+        return (
+            step.spec.long_running
+            and now.boot_ms - since_boot_ms > LAST_RESORT_WAIT_MS
+        )
+
     def _is_starved(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a step without any run has waited too long."""
         since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
@@ -347,6 +365,7 @@
             step,
             starved,
             self._health.failed_workers(step.key),
+            last_resort=self._has_no_other_worker(step, now),
         )
         for index in waiting[:tasks_left]:
             worker = next(workers, None)
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -37,6 +37,13 @@
         Ends up to this number are committed.
     last_listed_end : int
         Highest number of a listed end.
+    avoid_until_boot_ms : int
+        Until then, no task starts, as the worker refused one.
+    set_aside_until_boot_ms : int
+        Until then, tasks start only if they have no other worker, as runs
+        failed or stalled.
+    on_probation : bool
+        Whether no run has been done since the worker was set aside.
     ends_commit_pending : bool
         Whether listed ends are not committed yet.
     busy_millicores : int
@@ -74,6 +81,7 @@
         self.last_answer_boot_ms = -1
         self.leaves_boot_ms: int | None = None
         self.avoid_until_boot_ms = 0
+        self.set_aside_until_boot_ms = 0
         self.failed_jobs: set[str] = set()
         self.on_probation = False
         self.busy_millicores = 0
--- a/testing/dispatch/idle_oracle.py
+++ b/testing/dispatch/idle_oracle.py
@@ -61,8 +61,10 @@
         super().started(task, worker_id)
         self._holders[task].add(worker_id)
 
-    def ended(self, task: str, worker_id: str, outcome: RunOutcome) -> None:
-        super().ended(task, worker_id, outcome)
+    def ended(
+        self, task: str, run: int, worker_id: str, outcome: RunOutcome
+    ) -> None:
+        super().ended(task, run, worker_id, outcome)
         self._end_run(task, worker_id)
 
     def acknowledged(self, task: str, outcome: RunOutcome) -> None:
--- a/testing/dispatch/test_planner.py
+++ b/testing/dispatch/test_planner.py
@@ -1,5 +1,6 @@
 """Placement order in a planning pass."""
 
+import msgspec
 import pytest
 
 from sardinespool.dispatch.planner import first_round_size
@@ -7,6 +8,7 @@
 from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.simulation import Simulation
+from testing.dispatch.support import add_running
 from testing.dispatch.support import best_effort
 from testing.dispatch.support import make_step
 
@@ -113,3 +115,48 @@
         if task.startswith("fill")
     }
     assert started
+
+
+@pytest.mark.parametrize("refills", [1, 4])
+def test_long_running_task_is_not_idle_beside_a_worker_set_aside(
+    refills: int,
+) -> None:
+    """Guards against idle tasks while only a suspected worker has room."""
+    simulation = Simulation(2, workers=2)
+    for worker in simulation.workers.values():
+        worker.hanging = True
+    simulation.run(1_500)
+    suspect = simulation.dispatcher.fleet.workers["w0"]
+    health = simulation.dispatcher.health
+    spec = StepSpec(
+        count=7,
+        processors_millicores=500,
+        memory_mb=100,
+        long_running=True,
+    )
+    for number in range(2):
+        # The failures of healthy workers by chance come again and again.
+        for attempt in range(refills):
+            simulation.at(
+                attempt * 2_000,
+                lambda number=number: health.run_ended(
+                    suspect,
+                    add_running(suspect, StepSpec(count=1), f"bad{number}"),
+                    "failed",
+                    simulation.now(),
+                ),
+            )
+    simulation.run(100)
+    simulation.submit("other", spec)
+    simulation.run(500)
+    simulation.submit(
+        "late",
+        msgspec.structs.replace(spec, count=1, processors_millicores=1_500),
+    )
+    simulation.run(6_000)
+    running = {
+        task.split(".")[0]: name
+        for name, worker in simulation.workers.items()
+        for task in worker.running
+    }
+    assert running == {"other": "w1", "late": "w0"}
