Keep the disks of silent voters in groups of odd size

Cause: a voter that was silent for 2.5 s was removed from five voters as from four. Five need three and four need three, so nothing was gained, but when two of the other disks were lost next, the two that were left were no majority of four, although the silent member came back with its disk. In even groups the removal came too late: dead_voter_ms counts from an election, so a removed voter still counted 4 s after its successor had started.

Change: only an even number of voters is reduced, and after 1.5 s.

--- a/src/sardinespool/replication/membership.py
+++ b/src/sardinespool/replication/membership.py
@@ -107,6 +107,10 @@
 ) -> Configuration | None:
     """Return the configuration without one of the dead voters.
 
+    An odd number of voters is never reduced: the majority stays the same, so
+    the smaller group tolerates no more failures, and the disk of the dead
+    voter no longer counts if others are lost.
+
     Parameters
     ----------
     configuration : Configuration
@@ -119,9 +123,12 @@
     Returns
     -------
     Configuration or None
-        None unless the responsive voters are a majority and number at least
-        `VOTERS_MIN`, so that the group tolerates a further failure.
+        None unless the voters are even in number, and the responsive ones
+        are a majority and number at least `VOTERS_MIN`, so that the group
+        tolerates a further failure.
     """
+    if len(configuration.voters) % 2:
+        return None
     others = responsive.intersection(configuration.voters)
     if len(others) < max(configuration.majority, VOTERS_MIN):
         return None
--- a/src/sardinespool/replication/settings.py
+++ b/src/sardinespool/replication/settings.py
@@ -16,8 +16,10 @@
 
     With `open_membership`, `peers` are only seeds for discovery: names are
     addresses, and members that the settings don't list may join. A voter
-    that is silent for `dead_voter_ms` is removed if at least `VOTERS_MIN`
-    voters respond; it joins again when it returns.
+    that is silent for `dead_voter_ms` is removed from an even number of
+    voters if at least `VOTERS_MIN` respond; it joins again when it returns.
+    An election and this time together are shorter than the 4 s within which a
+    successor replaces a removed member.
     """
 
     group: str
@@ -25,7 +27,7 @@
     peers: tuple[str, ...] = ()
     bootstrap: bool = False
     open_membership: bool = False
-    dead_voter_ms: int = 2_500
+    dead_voter_ms: int = 1_500
     heartbeat_interval_ms: int = 150
     lease_ms: int = 900
     election_timeout_min_ms: int = 1200
