Tell late reports of workers from current ones

Two findings of one class: a report that names no process or no order is applied as if it were the latest.

Cause: sequence numbers of heartbeats are volatile, so a new leader took a ready report that was sent before the draining one. Change: within an incarnation draining is final, in the state machine and in the check for what has to be recorded.

Cause: a leave names the id only, and was applied to whatever process the state held. Change: if its body names the start time, only that process leaves. Without one it counts only for a worker that drains and whose announced time has passed, less the second that a report may be delayed. Any other leave is answered and ignored; the runs of that worker end with their lease.

During a rolling upgrade replicas of the earlier build still let a late report undo draining.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -119,8 +119,8 @@
                 if self._dispatcher.handle_heartbeat(request, now):
                     return Proposal(PutWorker(description=request.description))
                 return ImmediateReply(Accepted())
-            case WorkerLeaves(worker_id=worker_id):
-                return self._remove_worker(worker_id)
+            case WorkerLeaves():
+                return self._remove_worker(request, now)
             case DumpState():
                 state = msgspec.json.encode(self._dump())
                 return ImmediateReply(StateDump(json=state))
@@ -154,7 +154,10 @@
             case RecordRuns(), RunsRecorded():
                 self._dispatcher.recorded(body, result, now)
             case PutWorker(description=description), _:
-                self._dispatcher.description_committed(description, now)
+                # The state may hold a later description by now.
+                stored = self._machine.workers.get(description.worker_id)
+                if stored is not None:
+                    self._dispatcher.description_committed(stored, now)
             case DropWorker(worker_id=worker_id), _:
                 # The state keeps an incarnation that registered meanwhile.
                 if worker_id not in self._machine.workers:
@@ -214,13 +217,28 @@
             ManifestCopy(version=current.version, source=current.source)
         )
 
-    def _remove_worker(self, worker_id: str) -> ImmediateReply | Proposal:
-        known = self._machine.workers.get(worker_id)
+    def _remove_worker(
+        self, request: WorkerLeaves, now: Instant
+    ) -> ImmediateReply | Proposal:
+        known = self._machine.workers.get(request.worker_id)
         if known is None:
             return ImmediateReply(Accepted())
-        _LOG.info("worker leaves", worker=worker_id)
+        leaves = self._dispatcher.has_left(
+            request.worker_id, request.incarnation, now
+        )
+        _LOG.info(
+            "worker leaves" if leaves else "ignored a late leave",
+            worker=request.worker_id,
+            life=request.incarnation,
+            known_life=known.incarnation,
+            draining=known.draining,
+        )
+        if not leaves:
+            return ImmediateReply(Accepted())
         return Proposal(
-            DropWorker(worker_id=worker_id, incarnation=known.incarnation)
+            DropWorker(
+                worker_id=request.worker_id, incarnation=known.incarnation
+            )
         )
 
     def _member_list(self) -> MemberList:
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -125,6 +125,12 @@
             self._wake(worker_id)
         return needs_record
 
+    def has_left(
+        self, worker_id: str, incarnation: int | None, now: Instant
+    ) -> bool:
+        """Return whether a worker's leave is one of the known incarnation."""
+        return self.fleet.has_left(worker_id, incarnation, now)
+
     def description_committed(
         self, description: WorkerDescription, now: Instant
     ) -> None:
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -8,6 +8,7 @@
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.worker_reports import keep_draining
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import RunOutcome
@@ -18,6 +19,10 @@
 """Time after the last contact until a worker counts as silent; covers two
 heartbeat intervals."""
 
+REPORT_DELAY_MS = 1_000
+"""Longest delay of an acknowledged heartbeat; a worker that gets no answer in
+this time sends it to another member."""
+
 _LOG = get_logger("fleet")
 
 EndRun = Callable[[WorkerState, RunState, RunOutcome, str], None]
@@ -134,8 +139,33 @@
             if description.draining:
                 worker.leaves_boot_ms = now.boot_ms + report.remaining_ms
         self.heartbeat_boot_ms[description.worker_id] = now.boot_ms
+        if recorded is not None:
+            description = keep_draining(recorded, description)
         return description != recorded
 
+    def has_left(
+        self, worker_id: str, incarnation: int | None, now: Instant
+    ) -> bool:
+        """Return whether a leave is one of the known incarnation.
+
+        A leave that names no incarnation may be a late one of an earlier
+        process. It counts only if the known one drains and the time that it
+        still had has passed. Otherwise the runs end with their lease.
+        """
+        recorded = self._machine.workers.get(worker_id)
+        if recorded is None:
+            return False
+        if incarnation is not None:
+            return incarnation == recorded.incarnation
+        worker = self.workers.get(worker_id)
+        return (
+            worker is not None
+            and recorded.draining
+            and incarnation_of(worker) == recorded.incarnation
+            and worker.leaves_boot_ms is not None
+            and now.boot_ms >= worker.leaves_boot_ms - REPORT_DELAY_MS
+        )
+
     def put(self, description: WorkerDescription, now: Instant) -> None:
         """Apply a committed description."""
         worker = self.workers.get(description.worker_id)
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -14,6 +14,7 @@
 from sardinespool.messages.manifest import SetEvacuation
 from sardinespool.messages.tasks import Accepted
 from sardinespool.messages.worker_reports import DropWorker
+from sardinespool.messages.worker_reports import keep_draining
 from sardinespool.messages.worker_reports import PutWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import AcceptWorkflow
@@ -166,5 +167,8 @@
 
     def _put_worker(self, description: WorkerDescription) -> None:
         stored = self.workers.get(description.worker_id)
-        if stored is None or description.incarnation >= stored.incarnation:
-            self.workers[description.worker_id] = description
+        if stored is not None:
+            if description.incarnation < stored.incarnation:
+                return
+            description = keep_draining(stored, description)
+        self.workers[description.worker_id] = description
--- a/src/sardinespool/messages/worker_reports.py
+++ b/src/sardinespool/messages/worker_reports.py
@@ -34,6 +34,19 @@
     draining: bool = False
 
 
+def keep_draining(
+    earlier: WorkerDescription, later: WorkerDescription
+) -> WorkerDescription:
+    """Return `later`, draining if its incarnation has reported that before.
+
+    A worker that drains ends, so a report of the same incarnation that is
+    ready again was sent earlier and arrived late.
+    """
+    if earlier.draining and earlier.incarnation == later.incarnation:
+        return msgspec.structs.replace(later, draining=True)
+    return later
+
+
 class ReportWorker(Message, frozen=True, kw_only=True):
     """A worker's heartbeat.
 
@@ -62,6 +75,11 @@
 
 
 class WorkerLeaves(Message, frozen=True, kw_only=True):
-    """Report that a worker is shutting down now."""
+    """Report that a worker is shutting down now.
+
+    `incarnation` is None if the report does not name it; such a report may
+    be a late one of an earlier incarnation.
+    """
 
     worker_id: str
+    incarnation: int | None = msgspec.field(name="life", default=None)
--- a/src/sardinespool/platform/control_handler.py
+++ b/src/sardinespool/platform/control_handler.py
@@ -9,12 +9,12 @@
 from sardinespool.messages.manifest import ManifestCopy
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.manifest import SetEvacuation
-from sardinespool.messages.worker_reports import WorkerLeaves
 from sardinespool.observability.logs import get_logger
 from sardinespool.platform.manifest_codec import decode_manifest
 from sardinespool.platform.responses import error_response
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.worker_codec import decode_heartbeat
+from sardinespool.platform.worker_codec import decode_leave
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_server import ReceivedRequest
@@ -79,7 +79,7 @@
         case "POST", ("api", "instances", worker_id, "heartbeat"):
             return decode_heartbeat(worker_id, request.body)
         case "POST", ("api", "instances", worker_id, "leave"):
-            return WorkerLeaves(worker_id=worker_id)
+            return decode_leave(worker_id, request.body)
         case "POST", ("api", "configuration", "replace"):
             return decode_manifest(request.body)
         case "GET", ("api", "configuration", "read"):
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -16,6 +16,7 @@
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
+from sardinespool.messages.worker_reports import WorkerLeaves
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.settings.addresses import split_address
 
@@ -43,6 +44,11 @@
     remaining_ms: int = 0
 
 
+class _Leave(msgspec.Struct, frozen=True):
+    # Start time of this worker incarnation in unix milliseconds.
+    born: int | None = None
+
+
 class _RenewLeaseResponse(msgspec.Struct, frozen=True):
     clock_ms: int
     # [task, run, checkpoint, percent, load]; load may be missing.
@@ -58,6 +64,7 @@
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
+_LEAVE_DECODER = msgspec.json.Decoder(_Leave)
 _RENEW_LEASE_DECODER = msgspec.json.Decoder(_RenewLeaseResponse)
 _ORDER_DECODER = msgspec.json.Decoder(_OrderResponse)
 _ENCODER = msgspec.json.Encoder()
@@ -118,6 +125,23 @@
     )
 
 
+def decode_leave(worker_id: str, body: bytes) -> WorkerLeaves:
+    """Decode a worker's report that it leaves; the body may be empty.
+
+    Raises
+    ------
+    InvalidMessageError
+        The body is not valid, for instance because another program sent it.
+    """
+    try:
+        leave = _LEAVE_DECODER.decode(body) if body.strip() else _Leave()
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise InvalidMessageError(
+            f"The leave can't be used: {error}", worker=worker_id
+        ) from error
+    return WorkerLeaves(worker_id=worker_id, incarnation=leave.born)
+
+
 def encode_renew_lease(renewal: RenewLease) -> tuple[str, bytes]:
     """Return the path and body of a lease renewal request."""
     body: dict[str, object] = {
--- a/testing/platform/test_handlers.py
+++ b/testing/platform/test_handlers.py
@@ -151,6 +151,30 @@
     assert group.calls[0][0] == message
 
 
+@pytest.mark.parametrize(
+    ("body", "status", "incarnation"),
+    [
+        (b"", 200, None),
+        (b'{"born":1784325149258}', 200, 1784325149258),
+        (b'{"state":"ready"}', 200, None),
+        (b'{"born":"yesterday"}', 400, None),
+        (b"\xff\xfe", 400, None),
+    ],
+)
+def test_leave_names_the_process_if_its_body_does(
+    body: bytes, status: int, incarnation: int | None
+) -> None:
+    """Guards against a leave that is taken for one of the next process."""
+    group = FakeGroup(Accepted())
+    response = call_core(group, "POST", "/api/instances/i-1/leave", body)
+    assert response.status == status
+    assert [request for request, _ in group.calls] == (
+        [WorkerLeaves(worker_id="i-1", incarnation=incarnation)]
+        if status == 200
+        else []
+    )
+
+
 def test_manifest_is_returned_byte_for_byte() -> None:
     """Guards against a manifest that is re-encoded."""
     source = b'{"version": 7,\n "routes":[]}'
