Let overdue long-running tasks precede short ones

Between an end and the next start there is always some room on the fleet, so callers saw room beside a task that never started; a new one had to wait until the queue of short tasks was empty. The last free slot was kept for short tasks besides.

Change: a long-running step that has waited for 2 s is overdue: it precedes all others, may take the last free slot, and may use workers that were set aside, which it could after 3 s before.

Issue: 19, 22

--- a/src/sardinespool/dispatch/placer.py
+++ b/src/sardinespool/dispatch/placer.py
@@ -23,7 +23,7 @@
 of best-effort images that affect the two images differently.
 """
 FREE_SLOTS_MIN = 2
-"""Free slots required to place a long-running task.
+"""Free slots required to place a long-running task that is not overdue.
 
 The last slot is reserved for short tasks of equal priority, which a
 long-running task would block for minutes.
@@ -67,7 +67,7 @@
         step: StepRecord,
         starved: bool,
         failed_workers: set[str],
-        last_resort: bool = False,
+        overdue: bool = False,
     ) -> Iterator[WorkerState]:
         """Yield a worker for each task of a step.
 
@@ -83,37 +83,39 @@
             throttled.
         failed_workers : set of str
             Workers on which tasks of the step failed; chosen last.
-        last_resort : bool
+        overdue : bool
             Whether workers that were set aside may be chosen, after all
             others.
         """
         spec = step.spec
         heap: list[tuple[float, int, WorkerState]] = []
-        workers = self._workers + (self._set_aside if last_resort else [])
+        workers = self._workers + (self._set_aside if overdue else [])
         for position, worker in enumerate(workers):
             score = self.score_worker(
-                step, worker, starved, failed_workers, last_resort
+                step, worker, starved, failed_workers, overdue
             )
             if score is not None:
                 heap.append((-score, position, worker))
         heapq.heapify(heap)
         while heap:
-            if spec.long_running and self._free_slots(spec, heap) < (
-                FREE_SLOTS_MIN
+            if (
+                spec.long_running
+                and not overdue
+                and self._free_slots(spec, heap) < FREE_SLOTS_MIN
             ):
                 return
             _, position, worker = heapq.heappop(heap)
             if spec.uses_leftover_processors:
                 # An earlier task of the step may have changed the score.
                 score = self.score_worker(
-                    step, worker, starved, failed_workers, last_resort
+                    step, worker, starved, failed_workers, overdue
                 )
                 if score is None:
                     continue
                 self._best_effort.record_start(spec, worker)
             yield worker
             score = self.score_worker(
-                step, worker, starved, failed_workers, last_resort
+                step, worker, starved, failed_workers, overdue
             )
             if score is not None:
                 heapq.heappush(heap, (-score, position, worker))
@@ -138,12 +140,12 @@
         worker: WorkerState,
         starved: bool,
         failed_workers: set[str],
-        last_resort: bool = False,
+        overdue: bool = False,
     ) -> float | None:
         """Return a worker's score for the next task, None if unsuitable."""
         spec = step.spec
         if not worker.fits(spec) or (
-            worker.on_probation and not last_resort and has_finite_run(worker)
+            worker.on_probation and not overdue and has_finite_run(worker)
         ):
             return None
         labels = worker.description.labels
@@ -169,7 +171,7 @@
             score -= REMOTE_DATA_PENALTY
         if worker.worker_id in failed_workers:
             score -= FAILED_WORKER_PENALTY
-        if worker.on_probation and last_resort:
+        if worker.on_probation and overdue:
             score -= LAST_RESORT_PENALTY
         return score
 
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -35,9 +35,10 @@
 STARVED_RESERVED_MAX = 0.6
 """Reserved share of all processors below which a starved step may start where
 it interferes; from this share on, it keeps waiting for a suitable worker."""
-LAST_RESORT_WAIT_MS = 3_000
-"""Wait after which a long-running step may start on a worker that was set
-aside; its callers count it as missing after 6 s."""
+OVERDUE_WAIT_MS = 2_000
+"""Wait after which a long-running step is overdue: it precedes short tasks,
+may take the last free slot, and may start on a worker that was set aside. Its
+callers count it as missing after 6 s."""
 STARVED_PACE = 10
 """Initial pace in percent of a task of a starved step, until the first list
 of its worker gives the allowed pace."""
@@ -271,12 +272,16 @@
             and not self._is_starved(step, now)
         )
 
-    def _has_no_other_worker(self, step: StepRecord, now: Instant) -> bool:
-        """Return whether a long-running step has waited long in vain."""
+    def _is_overdue(self, step: StepRecord, now: Instant) -> bool:
+        """Return whether a long-running step has waited too long.
+
+        While short tasks keep a fleet full, they take all room that becomes
+        free, and a long-running task behind them would never start.
+        """
         since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
         return (
             step.spec.long_running
-            and now.boot_ms - since_boot_ms > LAST_RESORT_WAIT_MS
+            and now.boot_ms - since_boot_ms > OVERDUE_WAIT_MS
         )
 
     def _is_starved(self, step: StepRecord, now: Instant) -> bool:
@@ -311,9 +316,10 @@
 
     def _sort_key(
         self, step: StepRecord, now: Instant, round_: int
-    ) -> tuple[int, bool, int, str, int, int, str, int]:
+    ) -> tuple[bool, int, bool, int, str, int, int, str, int]:
         """Return a sort key: priority, then the time left to the objective.
 
+        Overdue steps precede all others, as they take room only once.
         Long-running steps are sorted by image, which keeps serving images on
         separate workers. Jobs past their objective follow those that can
         still meet it; jobs past `EXPIRY_OBJECTIVES` come last.
@@ -330,6 +336,7 @@
                 age_ms > EXPIRY_OBJECTIVES * objective_ms
             )
         return (
+            not self._is_overdue(step, now),
             queue.priority,
             # Long-running tasks can wait until short ones have ended.
             step.spec.long_running,
@@ -365,7 +372,7 @@
             step,
             starved,
             self._health.failed_workers(step.key),
-            last_resort=self._has_no_other_worker(step, now),
+            overdue=self._is_overdue(step, now),
         )
         for index in waiting[:tasks_left]:
             worker = next(workers, None)
--- a/testing/dispatch/test_planner.py
+++ b/testing/dispatch/test_planner.py
@@ -160,3 +160,36 @@
         for task in worker.running
     }
     assert running == {"other": "w1", "late": "w0"}
+
+
+@pytest.mark.parametrize("workers", [1, 3])
+@pytest.mark.parametrize("millicores", [500, 1_000])
+def test_long_running_task_starts_on_a_fleet_full_of_short_tasks(
+    workers: int, millicores: int
+) -> None:
+    """Guards against starvation by short tasks that take all room first."""
+    simulation = Simulation(3, workers=workers)
+    short = StepSpec(
+        count=workers * 150,
+        processors_millicores=1_000,
+        memory_mb=10,
+        expected_run_ms=700,
+    )
+    simulation.submit("short", short)
+    simulation.run(2_000)
+    simulation.submit(
+        "serve",
+        StepSpec(
+            count=2,
+            processors_millicores=millicores,
+            memory_mb=10,
+            long_running=True,
+            image="web",
+            tail_latency_target_ms=20,
+        ),
+    )
+    simulation.run(6_000)
+    table = simulation.machine.table
+    assert table.ready[("short", 0, 0)].waiting
+    (serve,) = table.workflows["serve"].occurrences[0]
+    assert all(task.run for task in serve.tasks)
