Acknowledge ends only to the process that listed them

Cause: a worker that starts anew under its id and address numbers its ends anew. A lease renewal for the earlier process, sent before its successor's first heartbeat, carried the earlier acknowledgement, and the new process deleted listed ends that were not recorded: tasks that were done ran again.

Change: a connection ends with its process, so a renewal acknowledges ends only after an answer on the same connection has named the process (dispatch/renewal_guard.py). The first renewal on a connection acknowledges nothing; ends that it lists again are recorded once.

Issue: 19, 22

--- a/src/sardinespool/platform/worker_client.py
+++ b/src/sardinespool/platform/worker_client.py
@@ -1,5 +1,7 @@
 """Client for the workers' HTTP API over persistent connections."""
 
+import weakref
+
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import Order
 from sardinespool.dispatch.orders import OrderDone
@@ -9,6 +11,7 @@
 from sardinespool.dispatch.orders import Refusal
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import RenewLeaseResult
+from sardinespool.dispatch.renewal_guard import RenewalGuard
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.observability.logs import get_logger
@@ -16,8 +19,10 @@
 from sardinespool.platform.worker_codec import decode_renew_lease_response
 from sardinespool.platform.worker_codec import encode_order
 from sardinespool.platform.worker_codec import encode_renew_lease
+from sardinespool.transport.http_client import HttpConnection
 from sardinespool.transport.http_messages import ExchangeAnswered
 from sardinespool.transport.http_messages import ExchangeNotSent
+from sardinespool.transport.http_messages import ExchangeResult
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.indexed_http_connections import (
@@ -41,27 +46,36 @@
 
     def __init__(self, connections: IndexedHttpConnections) -> None:
         self._connections = connections
+        self._guards: weakref.WeakKeyDictionary[
+            HttpConnection, RenewalGuard
+        ] = weakref.WeakKeyDictionary()
 
     async def renew_lease(
         self, worker: WorkerDescription, renewal: RenewLease, timeout_ms: int
     ) -> RenewLeaseResult:
         """Extend the lease of a worker and return its list of runs."""
-        path, body = encode_renew_lease(renewal)
-        response = await self._call(
-            worker, _RENEWAL_CONNECTION, path, body, timeout_ms
+        connection = await self._connections.connect(
+            worker.worker_id, _RENEWAL_CONNECTION, worker.address
         )
-        if not isinstance(response, HttpResponse):
-            return response
-        if response.status == 200:
-            try:
-                return decode_renew_lease_response(response.body)
-            except InvalidMessageError as error:
-                _LOG.warning(error.text, worker=worker.worker_id)
-                return NoAnswer(sent=True, reason="invalid hold response")
-        result = order_result(response)
-        if isinstance(result, OrderDone):
-            return NoAnswer(sent=True, reason=f"status {response.status}")
-        return result
+        if isinstance(connection, ExchangeNotSent):
+            return NoAnswer(sent=False, reason=connection.reason)
+        guard = self._guards.setdefault(connection, RenewalGuard())
+        path, body = encode_renew_lease(
+            guard.prepare(renewal, worker.incarnation)
+        )
+        answer = _decode_renewal(
+            worker,
+            _response_of(
+                await connection.exchange(
+                    _request_of(worker, path, body),
+                    "",
+                    lambda: True,
+                    timeout_ms / 1000,
+                )
+            ),
+        )
+        guard.handle_answer(answer)
+        return answer
 
     async def order(
         self,
@@ -91,29 +105,56 @@
         body: bytes,
         timeout_ms: int,
     ) -> HttpResponse | NoAnswer:
-        request = HttpRequest(
-            "POST",
-            path,
-            (
-                ("Content-Type", "application/json"),
-                (_INSTANCE_HEADER, worker.worker_id),
-            ),
-            body,
+        return _response_of(
+            await self._connections.exchange(
+                worker.worker_id,
+                connection_index,
+                worker.address,
+                _request_of(worker, path, body),
+                timeout_ms,
+            )
         )
-        result = await self._connections.exchange(
-            worker.worker_id,
-            connection_index,
-            worker.address,
-            request,
-            timeout_ms,
-        )
-        match result:
-            case ExchangeAnswered(response=response):
-                return response
-            case ExchangeNotSent(reason=reason):
-                return NoAnswer(sent=False, reason=reason)
-            case _:
-                return NoAnswer(sent=True, reason=result.reason)
+
+
+def _request_of(
+    worker: WorkerDescription, path: str, body: bytes
+) -> HttpRequest:
+    return HttpRequest(
+        "POST",
+        path,
+        (
+            ("Content-Type", "application/json"),
+            (_INSTANCE_HEADER, worker.worker_id),
+        ),
+        body,
+    )
+
+
+def _response_of(result: ExchangeResult) -> HttpResponse | NoAnswer:
+    match result:
+        case ExchangeAnswered(response=response):
+            return response
+        case ExchangeNotSent(reason=reason):
+            return NoAnswer(sent=False, reason=reason)
+        case _:
+            return NoAnswer(sent=True, reason=result.reason)
+
+
+def _decode_renewal(
+    worker: WorkerDescription, response: HttpResponse | NoAnswer
+) -> RenewLeaseResult:
+    if not isinstance(response, HttpResponse):
+        return response
+    if response.status == 200:
+        try:
+            return decode_renew_lease_response(response.body)
+        except InvalidMessageError as error:
+            _LOG.warning(error.text, worker=worker.worker_id)
+            return NoAnswer(sent=True, reason="invalid hold response")
+    result = order_result(response)
+    if isinstance(result, OrderDone):
+        return NoAnswer(sent=True, reason=f"status {response.status}")
+    return result
 
 
 def order_result(
--- a/src/sardinespool/transport/indexed_http_connections.py
+++ b/src/sardinespool/transport/indexed_http_connections.py
@@ -35,6 +35,17 @@
         timeout_ms: int,
     ) -> ExchangeResult:
         """Send a request over a connection, opened first if needed."""
+        connection = await self.connect(server, connection_index, address)
+        if isinstance(connection, ExchangeNotSent):
+            return connection
+        return await connection.exchange(
+            request, "", lambda: True, timeout_ms / 1000
+        )
+
+    async def connect(
+        self, server: str, connection_index: int, address: str
+    ) -> HttpConnection | ExchangeNotSent:
+        """Return the connection for the next exchange, opened if needed."""
         if self._addresses.get(server) != address:
             self.close_connections(server)
             self._addresses[server] = address
@@ -48,9 +59,7 @@
             except (OSError, TimeoutError) as error:
                 return ExchangeNotSent(f"the connect failed: {error!r}")
             self._connections[key] = connection
-        return await connection.exchange(
-            request, "", lambda: True, timeout_ms / 1000
-        )
+        return connection
 
     def close_connections(self, server: str) -> None:
         """Close all connections to a server."""
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -14,6 +14,7 @@
 from sardinespool.dispatch.orders import OrderResult
 from sardinespool.dispatch.orders import OtherWorker
 from sardinespool.dispatch.orders import RenewLeaseResult
+from sardinespool.dispatch.renewal_guard import RenewalGuard
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.groups.interfaces import ImmediateReply
@@ -93,6 +94,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._event_order = itertools.count()
         self._hold_in_flight: dict[str, bool] = {}
+        self._guards: dict[tuple[str, int, int], RenewalGuard] = {}
         self._in_commit = False
         self._sequence = itertools.count(1)
         self._next_heartbeat_ms = 0
@@ -297,7 +299,13 @@
         if self._is_refused(worker, incarnation):
             self.at(1, lambda: answer(OtherWorker()))
             return
-        first = worker.renew_lease(renewal, self.now_ms)
+        # A connection ends with the process at either end.
+        connection = (worker_id, worker.incarnation, self.term)
+        guard = self._guards.setdefault(connection, RenewalGuard())
+        first = worker.renew_lease(
+            guard.prepare(renewal, incarnation), self.now_ms
+        )
+        guard.handle_answer(first)
         wait_ms = 1 if worker.has_ends else max(1, renewal.wait_ms // 4)
 
         def later() -> None:
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -83,7 +83,8 @@
     run_until_settled(simulation, submit_jobs(simulation, seed))
 
 
-@pytest.mark.parametrize("seed", range(8))
+# From 8 on: a renewal for the earlier process deleted ends of the next one.
+@pytest.mark.parametrize("seed", [*range(8), 8, 13, 40, 49, 53, 57, 59])
 def test_worker_restarts_break_no_rule(seed: int) -> None:
     """Guards against lost runs that still count as running."""
     simulation = Simulation(seed)
--- /dev/null
+++ b/testing/platform/test_worker_client.py
@@ -0,0 +1,144 @@
+"""Lease renewals over the client's connections to a worker."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from sardinespool.dispatch.orders import LeaseRenewed
+from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.dispatch.orders import RenewLease
+from sardinespool.messages.worker_reports import WorkerDescription
+from sardinespool.platform.worker_client import WorkerClient
+from sardinespool.transport.http_messages import HttpResponse
+from sardinespool.transport.http_server import HttpListener
+from sardinespool.transport.http_server import ReceivedRequest
+from sardinespool.transport.http_server import ServerLimits
+from sardinespool.transport.indexed_http_connections import (
+    IndexedHttpConnections,
+)
+
+
+class StubWorker:
+    """Answers lease renewals and records what they acknowledge."""
+
+    def __init__(self, address: str, incarnation: int, body: bytes) -> None:
+        self.acknowledged: list[int] = []
+        self._body = (
+            body
+            or json.dumps(
+                {
+                    "clock_ms": 1,
+                    "running": [],
+                    "ended": [],
+                    "born": incarnation,
+                }
+            ).encode()
+        )
+        self._listener = HttpListener(address, self, ServerLimits(10_000))
+
+    async def __call__(self, received: ReceivedRequest) -> HttpResponse:
+        body = json.loads(received.request.body)
+        self.acknowledged.append(body["ack_cursor"])
+        return HttpResponse(
+            200, (("Content-Type", "application/json"),), self._body
+        )
+
+    def start(self) -> None:
+        self._listener.start()
+
+    async def stop(self) -> None:
+        await self._listener.stop()
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def describe(address: str, incarnation: int) -> WorkerDescription:
+    return WorkerDescription(
+        worker_id="w",
+        incarnation=incarnation,
+        address=address,
+        pool="p",
+        failure_domain="centro",
+        host="h",
+        labels=(),
+        processors_millicores=1_000,
+        memory_mb=1_000,
+        accelerators=0,
+    )
+
+
+async def renew(
+    client: WorkerClient, worker: WorkerDescription, count: int
+) -> list[object]:
+    renewal = RenewLease(fencing_token=1, acknowledged_end=57, wait_ms=0)
+    return [
+        await client.renew_lease(worker, renewal, 1_000) for _ in range(count)
+    ]
+
+
+def test_restarted_worker_keeps_its_unrecorded_ends() -> None:
+    """Guards against an acknowledgement meant for the earlier process.
+
+    The worker starts anew under its id and address, and the client does not
+    know that yet.
+    """
+
+    async def run() -> tuple[list[int], list[int]]:
+        address = free_address()
+        client = WorkerClient(IndexedHttpConnections())
+        first = StubWorker(address, 1, b"")
+        first.start()
+        await renew(client, describe(address, 1), 3)
+        await first.stop()
+        second = StubWorker(address, 2, b"")
+        second.start()
+        while not second.acknowledged:
+            await renew(client, describe(address, 1), 1)
+        await renew(client, describe(address, 1), 2)
+        await renew(client, describe(address, 2), 1)
+        client.close_connections("w")
+        await second.stop()
+        return first.acknowledged, second.acknowledged
+
+    first, second = asyncio.run(run())
+    assert first == [0, 57, 57]
+    assert second == [0, 0, 0, 57]
+
+
+@pytest.mark.parametrize(
+    ("body", "answer"),
+    [
+        (b'{"clock_ms":1}', LeaseRenewed(1, None, (), ())),
+        (b"[]", NoAnswer(sent=True, reason="invalid hold response")),
+        (b"\xff", NoAnswer(sent=True, reason="invalid hold response")),
+        (
+            b'{"clock_ms":1,"ended":[[1,"t",1,"unheard",""]]}',
+            NoAnswer(sent=True, reason="invalid hold response"),
+        ),
+    ],
+)
+def test_answers_without_start_time_or_meaning(
+    body: bytes, answer: object
+) -> None:
+    """Guards against ends that are acknowledged to an unknown process."""
+
+    async def run() -> tuple[list[object], list[int]]:
+        address = free_address()
+        client = WorkerClient(IndexedHttpConnections())
+        worker = StubWorker(address, 1, body)
+        worker.start()
+        answers = await renew(client, describe(address, 1), 2)
+        client.close_connections("w")
+        await worker.stop()
+        return answers, worker.acknowledged
+
+    answers, acknowledged = asyncio.run(run())
+    assert answers == [answer, answer]
+    known = isinstance(answer, LeaseRenewed)
+    assert acknowledged == [0, 57 if known else 0]
