Let order senders sleep while no order may be sent

Cause: the time of the next order was computed from the retry times of pending runs alone. While the lease had lapsed, a worker had fenced the leader, or a worker was not reconciled, next_order returned nothing and the time was 1 ms: two tasks a worker woke every millisecond.

Change: no time is given while no order may be sent, as an event wakes the sender; during a lapsed lease the tasks check it every retry_ms, as those for lease renewals do.

--- a/src/sardinespool/dispatch/order_queue.py
+++ b/src/sardinespool/dispatch/order_queue.py
@@ -80,13 +80,8 @@
         self, worker_id: str, now: Instant
     ) -> tuple[RunKey, Order] | None:
         """Return the next order for a worker, or None if none is due."""
-        worker = self._fleet.workers.get(worker_id)
-        if (
-            worker is None
-            or not self.can_send
-            or not worker.reconciled
-            or not worker.clock.known
-        ):
+        worker = self._orderable_worker(worker_id)
+        if worker is None:
             return None
         for run in list(worker.pending.values()):
             if not run.needs_order:
@@ -103,8 +98,12 @@
         return None
 
     def ms_until_next_order(self, worker_id: str, now: Instant) -> int | None:
-        """Return the milliseconds until the next order may be sent."""
-        worker = self._fleet.workers.get(worker_id)
+        """Return the milliseconds until the next order may be sent.
+
+        None if no order waits, or none may be sent until an event wakes the
+        sender.
+        """
+        worker = self._orderable_worker(worker_id)
         if worker is None:
             return None
         delays_ms = [
@@ -114,6 +113,18 @@
         ]
         return max(1, min(delays_ms)) if delays_ms else None
 
+    def _orderable_worker(self, worker_id: str) -> WorkerState | None:
+        """Return a worker, or None if it may not be sent any order now."""
+        worker = self._fleet.workers.get(worker_id)
+        if (
+            worker is None
+            or not self.can_send
+            or not worker.reconciled
+            or not worker.clock.known
+        ):
+            return None
+        return worker
+
     def _poll_wait_ms(self, worker: WorkerState) -> int:
         if not worker.reconciled:
             return 0
--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -110,9 +110,7 @@
             renewal = None
             if worker is not None:
                 if not self._is_leading():
-                    # Nothing wakes this task when the lapsed lease of this
-                    # member is renewed.
-                    await asyncio.sleep(self._settings.retry_ms / 1000)
+                    await self._wait_for_lease()
                     continue
                 renewal = self._dispatcher.orders.next_lease_renewal(
                     self._worker_id, now
@@ -146,7 +144,10 @@
             now = system_clock.now()
             worker = self._dispatcher.fleet.workers.get(self._worker_id)
             due = None
-            if worker is not None and self._is_leading():
+            if worker is not None:
+                if not self._is_leading():
+                    await self._wait_for_lease()
+                    continue
                 due = self._dispatcher.orders.next_order(self._worker_id, now)
             if worker is None or due is None:
                 await self._wait_for_order(event)
@@ -168,6 +169,13 @@
                 system_clock.now(),
             )
 
+    async def _wait_for_lease(self) -> None:
+        """Wait before the next check of this member's lapsed lease.
+
+        Nothing wakes the tasks when it is renewed.
+        """
+        await asyncio.sleep(self._settings.retry_ms / 1000)
+
     async def _wait_for_order(self, event: asyncio.Event) -> None:
         """Wait until `event` is set or an order is to be retried."""
         event.clear()
--- a/testing/controller/test_worker_senders.py
+++ b/testing/controller/test_worker_senders.py
@@ -108,3 +108,34 @@
         sender.close()
 
     asyncio.run(run())
+
+
+def test_lapsed_lease_does_not_wake_the_order_tasks_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two busy loops a worker while no order may be sent."""
+    lease_checks = 0
+
+    def is_leading() -> bool:
+        nonlocal lease_checks
+        lease_checks += 1
+        return False
+
+    async def run() -> None:
+        dispatcher = FailingDispatcher()
+        dispatcher.orders.ms_until_next_order = lambda worker_id, now: 1
+        sender = WorkerSender(
+            "w",
+            dispatcher,  # type: ignore[arg-type]
+            AnsweringCaller(),  # type: ignore[arg-type]
+            DispatchSettings(retry_ms=60_000),
+            is_leading,
+            lambda: None,
+        )
+        for _ in range(50):
+            await asyncio.sleep(0.002)
+        sender.close()
+
+    asyncio.run(run())
+    # One task for lease renewals and one for each order connection.
+    assert lease_checks == 1 + worker_senders.ORDER_CONNECTIONS_PER_WORKER
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -7,8 +7,11 @@
 from sardinespool.dispatch.orders import OrderRefused
 from sardinespool.dispatch.orders import Refusal
 from sardinespool.dispatch.orders import RenewLease
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.worker_clock import WorkerClock
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.simulation import Simulation
+from testing.dispatch.support import add_running
 
 JOBS = 12
 
@@ -237,6 +240,28 @@
     assert simulation.oracle.starts == 0
 
 
+@pytest.mark.parametrize("cause", ["fenced", "unreconciled", "clock"])
+def test_orders_that_may_not_be_sent_have_no_due_time(cause: str) -> None:
+    """Guards against senders that wake each millisecond for nothing."""
+    simulation = Simulation(6)
+    simulation.run(1_500)
+    state = simulation.dispatcher.fleet.workers["w0"]
+    run = add_running(state, StepSpec(count=1), "job")
+    run.phase = RunPhase.ORDERED
+    state.pending[run.key] = run
+    orders = simulation.dispatcher.orders
+    assert orders.ms_until_next_order("w0", simulation.now()) == 1
+    match cause:
+        case "fenced":
+            orders.fenced = True
+        case "unreconciled":
+            state.reconciled = False
+        case _:
+            state.clock = WorkerClock(0.98)
+    assert orders.next_order("w0", simulation.now()) is None
+    assert orders.ms_until_next_order("w0", simulation.now()) is None
+
+
 def test_refusal_from_an_earlier_term_does_not_fence_the_next() -> None:
     """Guards against a leader that never sends orders again.
 
