Open a member's files again after a failed attempt

Cause: reopening a group's files failed while the disk was still full, and the store that had failed kept the lock of the folder. Each later attempt ended with 'The data folder is in use by another process', for as long as the process ran. When the disks of all members were full one after another, too few members were left to commit anything, although all processes ran.

Change: a store whose load fails closes its files and releases its lock.

--- a/src/sardinespool/storage/group_store.py
+++ b/src/sardinespool/storage/group_store.py
@@ -53,6 +53,7 @@
         """Return the stored state; must be called once, before `persist`.
 
         In an empty folder, a new incarnation is generated and stored first.
+        A failure closes the store, so that the folder can be opened again.
 
         Raises
         ------
@@ -64,29 +65,37 @@
             A file can't be read or written.
         """
         try:
-            # A process that was killed may have left names and records that
-            # are not synced. From now on, the replica answers for them.
-            sync_folder(self._folder.parent)
-            sync_folder(self._folder)
-            snapshot = self._snapshots.load()
-            hard_state = self._load_hard_state()
-            entries = self._log.load()
-            if hard_state is None:
-                if snapshot is not None or entries:
-                    raise CorruptLogError(
-                        "The hard state is missing, but other state exists.",
-                        file=str(self._hard_state_path),
-                    )
-                hard_state = HardState(secrets.token_hex(INCARNATION_BYTES))
-                self._write_hard_state(hard_state)
-            entries = self._entries_after_snapshot(snapshot, entries)
-            self._log.sync()
+            state = self._load()
         except OSError as error:
+            self.close()
             raise StorageError(
                 f"The stored state can't be loaded: {error.strerror}."
             ) from error
-        self._hard_state = hard_state
+        except StorageError:
+            self.close()
+            raise
+        self._hard_state = state.hard_state
         self._writable = True
+        return state
+
+    def _load(self) -> PersistedState:
+        # A process that was killed may have left names and records that are
+        # not synced. From now on, the replica answers for them.
+        sync_folder(self._folder.parent)
+        sync_folder(self._folder)
+        snapshot = self._snapshots.load()
+        hard_state = self._load_hard_state()
+        entries = self._log.load()
+        if hard_state is None:
+            if snapshot is not None or entries:
+                raise CorruptLogError(
+                    "The hard state is missing, but other state exists.",
+                    file=str(self._hard_state_path),
+                )
+            hard_state = HardState(secrets.token_hex(INCARNATION_BYTES))
+            self._write_hard_state(hard_state)
+        entries = self._entries_after_snapshot(snapshot, entries)
+        self._log.sync()
         return PersistedState(hard_state, snapshot, tuple(entries))
 
     def persist(self, effects: Sequence[Persist | PersistSnapshot]) -> None:
--- a/testing/storage/test_group_store.py
+++ b/testing/storage/test_group_store.py
@@ -1,5 +1,6 @@
 """Tests of the log, damaged files and the lock of a group's folder."""
 
+import errno
 import os
 import pathlib
 
@@ -171,6 +172,24 @@
     load_state(tmp_path)
 
 
+@pytest.mark.parametrize("refused", ["fsync", "fdatasync"])
+def test_folder_can_be_opened_again_after_a_failed_load(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, refused: str
+) -> None:
+    """Guards against a member that locks itself out while its disk is full."""
+    persist_batches(tmp_path, [Persist(None, entries(1, 3))])
+    with monkeypatch.context() as full_disk:
+
+        def refuse(descriptor: int) -> None:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+        full_disk.setattr(os, refused, refuse)
+        for _ in range(3):
+            with pytest.raises(StorageError, match="No space left"):
+                GroupStore(tmp_path).load()
+    assert load_state(tmp_path).entries == tuple(entries(1, 3))
+
+
 def test_batch_shares_one_sync(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
