Do not report a committed request as refused

Cause: when the lease ended between the commit of a request and its reply, the caller's client got NotLeaderError, which promises that nothing ran. If no leader answered before the deadline, the caller was told 503 although its job was accepted and ran later. On the leader itself a request without an answer in time became NotReadyError, also 503.

Change: a withheld reply is ProposalLostError, after which the client tries again and reports, at the deadline, that the outcome is unknown (504). The same holds for a request that got no answer in time on the leader.

Two asserts asked for NotLeaderError on such replies, in test_lapsed_lease.py and test_group_runner.py. They were wrong, as the request may have been applied; they ask for ProposalLostError now, and the first also that the client takes the request as one that may take effect.

--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -6,7 +6,9 @@
 from sardinespool.dispatch.control_service import ControlService
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.errors.replication import GroupUnavailableError
 from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.storage import CorruptLogError
 from sardinespool.errors.storage import StorageError
 from sardinespool.errors.transport import NotReadyError
@@ -116,9 +118,13 @@
 
         Raises
         ------
+        GroupUnavailableError
+            No leader replied in time. ``details['sent']`` tells whether the
+            request may still take effect.
         SardinespoolError
-            The request is refused, or no leader replied in time.
+            The request is refused.
         """
+        sent = False
         if self._runner.serving:
             try:
                 async with asyncio.timeout(timeout_ms / 1000):
@@ -126,14 +132,21 @@
             except NotLeaderError:
                 # The lease expired meanwhile; another member may lead.
                 pass
+            except ProposalLostError:
+                sent = True
             except TimeoutError as error:
-                raise NotReadyError("No answer in time.") from error
+                raise _unavailable_error(sent=True) from error
         if self._stopping.is_set() and not self.leader:
             raise NotReadyError("The process is stopping.")
         if self.leader and self.leader != self._settings.address:
             self._client.assume_leader(self.leader)
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
-        return await self._client.call(request, deadline_unix_ms)
+        try:
+            return await self._client.call(request, deadline_unix_ms)
+        except GroupUnavailableError as error:
+            if not sent:
+                raise
+            raise _unavailable_error(sent) from error
 
     async def transfer_leadership(self) -> None:
         """Transfer leadership to another member if this one leads."""
@@ -257,6 +270,14 @@
             self._senders.retain(set(self._dispatcher.fleet.workers))
 
 
+def _unavailable_error(sent: bool) -> GroupUnavailableError:
+    return GroupUnavailableError(
+        "No leader of the group answered in time.",
+        group=CONTROL_GROUP,
+        sent=sent,
+    )
+
+
 def cluster_settings_from_token(token: str) -> ClusterSettings:
     """Return cluster settings that contain only a token.
 
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -8,6 +8,7 @@
 from sardinespool.clock import Instant
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.groups.domain_service import DomainService
 from sardinespool.groups.interfaces import GroupMachine
 from sardinespool.groups.interfaces import GroupService
@@ -50,6 +51,14 @@
 _LOG = get_logger("store")
 
 
+def reply_withheld_error(group: str) -> ProposalLostError:
+    """Return the error for a request whose reply the lease did not outlast.
+
+    The request may have been committed, so it is not a refusal.
+    """
+    return ProposalLostError("The lease ended before the reply.", group=group)
+
+
 class GroupEventHandler:
     """Handles the events of a group in batches; starts no task itself.
 
@@ -352,7 +361,7 @@
         # The reply can grant permits and leases, so this member's own
         # lease is checked again after the sync.
         if not self._replica.is_leader(now):
-            fail(waiter, self.not_leader_error())
+            fail(waiter, reply_withheld_error(self.group))
             return
         resolve(waiter, self._service.build_reply(waiter.request, result, now))
 
--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -7,6 +7,9 @@
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import SyncDomain
 from sardinespool.programs.store.group_event_handler import GroupEventHandler
+from sardinespool.programs.store.group_event_handler import (
+    reply_withheld_error,
+)
 from sardinespool.programs.store.message_sending import DiskEffects
 from sardinespool.programs.store.runner_events import CallReceived
 from sardinespool.programs.store.runner_events import PeerMessageReceived
@@ -62,6 +65,8 @@
 
         Raises
         ------
+        ProposalLostError
+            Leadership or its lease ended; the request may have taken effect.
         SardinespoolError
             The request is refused, or this member is not the leader.
         """
@@ -72,7 +77,7 @@
         result = await reply
         # The lease may have expired since, if the process was suspended.
         if not self._event_handler.serving:
-            raise self._event_handler.not_leader_error()
+            raise reply_withheld_error(self.group)
         return result
 
     def deliver(self, sender: str, message: PeerMessage) -> None:
--- a/testing/controller/test_storage_failure.py
+++ b/testing/controller/test_storage_failure.py
@@ -5,12 +5,15 @@
 import os
 import pathlib
 import socket
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
 from sardinespool.messages.manifest import ManifestCopy
@@ -18,6 +21,7 @@
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.tasks import Accepted
 from sardinespool.observability.metrics import Metrics
+from sardinespool.platform.responses import error_response
 from sardinespool.programs.controller.control_member import ControlGroupMember
 from sardinespool.programs.controller.settings import (
     ControlGroupMemberSettings,
@@ -62,6 +66,62 @@
             await asyncio.sleep(0.05)
 
 
+class LapsingRunner:
+    """Loses the leadership or the answer of a request that it proposed."""
+
+    def __init__(self, error: SardinespoolError | None) -> None:
+        self.serving = True
+        self.status = SimpleNamespace(leader="")
+        self._error = error
+
+    async def call(self, request: Request) -> Reply:
+        if self._error is None:
+            await asyncio.sleep(3_600)
+        assert self._error is not None
+        raise self._error
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [
+        # Refused before it was proposed: it has not run.
+        (NotLeaderError("Not here."), 503),
+        (ProposalLostError("The lease lapsed before the reply."), 504),
+        # No answer in time: it may still be committed.
+        (None, 504),
+    ],
+    ids=["refused", "lapsed", "no-answer"],
+)
+def test_call_that_may_have_run_is_not_said_to_be_refused(
+    tmp_path: pathlib.Path, error: SardinespoolError | None, status: int
+) -> None:
+    """Guards against 503, which says that nothing ran, after a commit."""
+
+    async def run() -> int:
+        address = free_address()
+        controller = ControlGroupMember(
+            ControlGroupMemberSettings(
+                address=address,
+                peers=(),
+                bootstrap=False,
+                data_folder=tmp_path,
+                cluster_token="token",
+            ),
+            UnreachableWorkers(),
+            Metrics("controller", "a"),
+        )
+        controller._runner = LapsingRunner(error)  # type: ignore[assignment]
+        try:
+            await controller.call(make_manifest(1), 60)
+        except SardinespoolError as raised:
+            return error_response(raised).status
+        finally:
+            await controller.stop()
+        return 200
+
+    assert asyncio.run(run()) == status
+
+
 def test_controller_recovers_from_full_disk(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/testing/store/test_group_runner.py
+++ b/testing/store/test_group_runner.py
@@ -8,6 +8,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.groups.global_machine import GlobalMachine
 from sardinespool.groups.global_service import GlobalService
 from sardinespool.groups.interfaces import ImmediateReply
@@ -160,7 +161,7 @@
                 return ImmediateReply(current_configuration)
 
             monkeypatch.setattr(GlobalService, "handle", expire_lease)
-            with pytest.raises(NotLeaderError):
+            with pytest.raises(ProposalLostError):
                 await pending_call
 
     asyncio.run(run())
--- a/testing/store/test_lapsed_lease.py
+++ b/testing/store/test_lapsed_lease.py
@@ -6,7 +6,7 @@
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import StartRun
 from sardinespool.dispatch.orders import StopRun
-from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
 from sardinespool.messages.commands import Command
@@ -19,6 +19,7 @@
 from sardinespool.replication.messages import AppendEntries
 from sardinespool.replication.messages import AppendReply
 from sardinespool.replication.messages import PeerMessage
+from sardinespool.transport.group_client import may_take_effect
 from testing.store.control_cluster import ControlCluster
 from testing.store.control_cluster import make_description
 from testing.store.control_cluster import Member
@@ -176,7 +177,9 @@
     )
     cluster.step()
     cluster.held = lambda message: False
-    assert isinstance(reply.exception(), NotLeaderError)
+    error = reply.exception()
+    assert isinstance(error, ProposalLostError)
+    assert may_take_effect(error)
     cluster.step()
     assert leader.handler.serving
     return leader
