Refuse calls to a group whose disk has failed

Cause: calls that were queued when a write failed, and those that came until the files were open again, were never answered.

Change: when the runner of a group ends, proposed calls end with an unknown outcome as before, and all others are refused as not run, also later ones.

--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -49,6 +49,7 @@
         self._queue: asyncio.Queue[RunnerEvent] = asyncio.Queue(
             QUEUE_EVENTS_MAX
         )
+        self._ended = False
 
     @property
     def status(self) -> ReplicaStatus:
@@ -73,6 +74,8 @@
         reply: asyncio.Future[Reply] = (
             asyncio.get_running_loop().create_future()
         )
+        if self._ended:
+            raise self._event_handler.not_leader_error()
         await self._queue.put(CallReceived(request, reply))
         result = await reply
         # The lease may have expired since, if the process was suspended.
@@ -108,14 +111,26 @@
 
     async def run(self) -> None:
         """Handle events until cancelled."""
+        batch: list[RunnerEvent] = []
         try:
             while True:
-                for durable_effects in self._event_handler.handle_batch(
-                    await self._collect_batch()
-                ):
+                batch = await self._collect_batch()
+                for durable_effects in self._event_handler.handle_batch(batch):
                     await self._persist(durable_effects)
         finally:
+            self._ended = True
+            # Answers the calls that were proposed.
             self._event_handler.close()
+            self._refuse_calls(batch)
+
+    def _refuse_calls(self, batch: list[RunnerEvent]) -> None:
+        """Refuse the calls of an unfinished batch and those in the queue."""
+        while not self._queue.empty():
+            batch.append(self._queue.get_nowait())
+        error = self._event_handler.not_leader_error()
+        for event in batch:
+            if isinstance(event, CallReceived) and not event.reply.done():
+                event.reply.set_exception(error)
 
     async def _persist(self, durable_effects: DiskEffects) -> None:
         """Persist in a thread, so that the event loop is not blocked."""
--- a/testing/store/test_group_runner.py
+++ b/testing/store/test_group_runner.py
@@ -1,6 +1,8 @@
 """Tests of `GroupRunner` with real files and a virtual clock."""
 
 import asyncio
+import errno
+import os
 import pathlib
 from typing import Any
 
@@ -9,6 +11,7 @@
 from sardinespool.clock import Instant
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.replication import ProposalLostError
+from sardinespool.errors.storage import StorageError
 from sardinespool.groups.global_machine import GlobalMachine
 from sardinespool.groups.global_service import GlobalService
 from sardinespool.groups.interfaces import ImmediateReply
@@ -167,6 +170,35 @@
     asyncio.run(run())
 
 
+def test_calls_are_refused_once_the_disk_has_failed(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against callers that wait for a group that no longer runs.
+
+    They wait for their own timeout instead of going to another member.
+    """
+
+    async def run() -> None:
+        member = Member(tmp_path, Clock())
+        queued = asyncio.create_task(member.runner.call(ReadConfiguration()))
+        await asyncio.sleep(0)
+
+        def refuse(descriptor: int) -> None:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+        monkeypatch.setattr(os, "fdatasync", refuse)
+        with pytest.raises(StorageError):
+            await member.runner.run()
+        late = asyncio.create_task(member.runner.call(ReadConfiguration()))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        for call in (queued, late):
+            assert call.done()
+            assert isinstance(call.exception(), NotLeaderError)
+
+    asyncio.run(run())
+
+
 def test_cancellation_during_event_stops_runner(
     tmp_path: pathlib.Path,
 ) -> None:
