Confine malformed requests and unexpected errors to their request

Cause: a job, heartbeat or manifest with an integer of more than 64 bits was decoded, as JSON sets no limit, and could not be encoded as a command. The OverflowError ended the leader's process; the sender's next attempts would have ended the next leaders. Any other unexpected error in a request, a planning pass or a command did the same.

Change: integers that no command can hold are refused with 400 when they are decoded. The handler of a group encodes each proposal by itself, answers a request that raises with service-fault (503, nothing was proposed), refuses a command that can't be applied on all members alike, and starts the service again from the replicated state after an error while planning.

--- a/src/sardinespool/errors/transport.py
+++ b/src/sardinespool/errors/transport.py
@@ -55,3 +55,9 @@
     """The process hasn't synchronized since its start, or is stopping."""
 
     http_status = 503
+
+
+class ServiceFaultError(TransportError):
+    """An unexpected error ended the request before it had any effect."""
+
+    http_status = 503
--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -152,8 +152,20 @@
 
 
 def encode(message: Message) -> bytes:
-    """Encode a message with its tag."""
-    return _MESSAGE_ENCODER.encode(message)
+    """Encode a message with its tag.
+
+    Raises
+    ------
+    InvalidMessageError
+        An integer has more than 64 bits.
+    """
+    try:
+        return _MESSAGE_ENCODER.encode(message)
+    except OverflowError as error:
+        raise InvalidMessageError(
+            f"The message can't be encoded: {error}",
+            message=type(message).__name__,
+        ) from error
 
 
 def decode_request(data: bytes) -> Request:
--- a/src/sardinespool/platform/job_codec.py
+++ b/src/sardinespool/platform/job_codec.py
@@ -5,16 +5,17 @@
 from sardinespool.errors.tasks import InvalidJobError
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.platform.integers import Count
 
 
 class _Step(msgspec.Struct, frozen=True):
-    count: int = 0
+    count: Count = 0
     # In millicores.
-    cpu: int = 0
-    requested_memory_mb: int = 0
-    gpus: int = 0
-    estimated_ms: int = 0
-    after: tuple[int, ...] = ()
+    cpu: Count = 0
+    requested_memory_mb: Count = 0
+    gpus: Count = 0
+    estimated_ms: Count = 0
+    after: tuple[Count, ...] = ()
     checkpointing: bool = False
     gang_scheduled: bool = False
     same_rack: bool = False
@@ -22,24 +23,24 @@
     requirements: str = ""
     data_rack: str = ""
     # Maximum number of the step's tasks on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     # Tail latency of the task's responses, not the run time.
-    target_ms: int = 0
+    target_ms: Count = 0
     # The step uses leftover processors without a reservation.
     fills: bool = False
     # Maximum number of unavailable tasks.
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class _Job(msgspec.Struct, frozen=True):
     task_spec: str
     steps: tuple[_Step, ...]
-    repetitions: int = 0
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repetitions: Count = 0
+    first_run_ms: Count = 0
+    interval_ms: Count = 0
 
 
 _DECODER = msgspec.json.Decoder(_Job)
--- a/src/sardinespool/platform/manifest_codec.py
+++ b/src/sardinespool/platform/manifest_codec.py
@@ -6,6 +6,8 @@
 from sardinespool.messages.manifest import PoolSpec
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.platform.integers import Count
+from sardinespool.platform.integers import Integer
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -14,11 +16,11 @@
     path_prefix: str
     # Worker pool that runs the queue's tasks.
     service: str
-    timeout_ms: int
-    target_latency_ms: int = 0
-    priority: int = 0
+    timeout_ms: Count
+    target_latency_ms: Count = 0
+    priority: Integer = 0
     # Number of failed runs of a task at which its job fails.
-    max_attempts: int = 1
+    max_attempts: Count = 1
     stretch: float = 1.0
 
 
@@ -28,7 +30,7 @@
 
 
 class _Manifest(msgspec.Struct, frozen=True):
-    version: int
+    version: Integer
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
 
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -18,13 +18,15 @@
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.worker_reports import WorkerLeaves
 from sardinespool.messages.workflows import RunOutcome
+from sardinespool.platform.integers import Count
+from sardinespool.platform.integers import Integer
 from sardinespool.settings.addresses import split_address
 
 
 class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int
-    requested_memory_mb: int
-    gpus: int = 0
+    cpu: Count
+    requested_memory_mb: Count
+    gpus: Count = 0
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
@@ -33,33 +35,33 @@
     zone: str
     state: Literal["ready", "draining"]
     capacity: _Capacity
-    sequence: int
-    clock_ms: int
+    sequence: Integer
+    clock_ms: Integer
     labels: tuple[str, ...] = ()
     # Start time of this worker incarnation in unix milliseconds.
-    born: int = 0
+    born: Count = 0
     # Machine that the worker runs on.
     machine: str = ""
     # Set while draining: minimum time until the worker leaves.
-    remaining_ms: int = 0
+    remaining_ms: Count = 0
 
 
 class _Leave(msgspec.Struct, frozen=True):
     # Start time of this worker incarnation in unix milliseconds.
-    born: int | None = None
+    born: Count | None = None
 
 
 class _RenewLeaseResponse(msgspec.Struct, frozen=True):
-    clock_ms: int
+    clock_ms: Integer
     # [task, run, checkpoint, percent, load]; load may be missing.
     running: tuple[tuple[object, ...], ...] = ()
     # [number, task, run, end reason, checkpoint].
-    ended: tuple[tuple[int, str, int, str, str], ...] = ()
-    born: int | None = None
+    ended: tuple[tuple[Integer, str, Integer, str, str], ...] = ()
+    born: Count | None = None
 
 
 class _OrderResponse(msgspec.Struct, frozen=True):
-    clock_ms: int | None = None
+    clock_ms: Integer | None = None
     reason: str = ""
 
 
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -15,15 +15,17 @@
 from sardinespool.groups.interfaces import ImmediateReply
 from sardinespool.groups.interfaces import Proposal
 from sardinespool.messages import codec
-from sardinespool.messages.commands import Command
 from sardinespool.messages.commands import CommandBody
 from sardinespool.messages.commands import FormGroup
 from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.fault_barrier import apply_command
+from sardinespool.programs.store.fault_barrier import handle_request
 from sardinespool.programs.store.leader_service import LeaderService
 from sardinespool.programs.store.message_sending import can_send_before_sync
 from sardinespool.programs.store.message_sending import DiskEffects
 from sardinespool.programs.store.message_sending import send_entries
 from sardinespool.programs.store.message_sending import send_other_messages
+from sardinespool.programs.store.pending import encode_proposals
 from sardinespool.programs.store.pending import fail
 from sardinespool.programs.store.pending import PendingProposals
 from sardinespool.programs.store.pending import resolve
@@ -202,7 +204,9 @@
             fail(waiter, self.not_leader_error())
             return
         try:
-            outcome = self._service.handle(event.request, now)
+            outcome = handle_request(
+                self.group, self._service, event.request, now
+            )
         except SardinespoolError as error:
             fail(waiter, error)
             return
@@ -254,20 +258,16 @@
         self._service_tick_deadline_boot_ms = (
             now.boot_ms + self._service_tick_interval_ms
         )
-        for body in self._service.tick(now):
+        for body in self._leader_service.tick(now):
             proposals.append((body, Waiter()))
 
     def _propose(
         self, proposals: list[tuple[CommandBody, Waiter]], now: Instant
     ) -> list[replica_effects.Effect]:
-        if not proposals:
+        payloads, waiters = encode_proposals(proposals, now.unix_ms)
+        if not payloads:
             return []
-        payloads = tuple(
-            codec.encode(Command(proposed_unix_ms=now.unix_ms, body=body))
-            for body, _ in proposals
-        )
         effects = self._replica.handle(replica_events.Propose(payloads), now)
-        waiters = [waiter for _, waiter in proposals]
         for effect in effects:
             match effect:
                 case replica_effects.ProposalAccepted(
@@ -347,7 +347,7 @@
             self._pending.pop(entry.index, entry.term)
             return
         command = codec.decode_command(entry.payload)
-        result = self._machine.apply(command, entry.index)
+        result = apply_command(self.group, self._machine, command, entry.index)
         self._formed = self._formed or self._machine_is_formed()
         self._metrics.applied_entries.inc(group=self.group)
         now = self._clock()
--- a/src/sardinespool/programs/store/leader_service.py
+++ b/src/sardinespool/programs/store/leader_service.py
@@ -7,6 +7,11 @@
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.commands import CommandBody
 from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.fault_barrier import log_fault
+
+RESTART_INTERVAL_MS = 1_000
+"""Shortest time between two restarts after errors; a restart loads the whole
+state again."""
 
 _LOG = get_logger("store")
 
@@ -18,6 +23,10 @@
     and is told of applied commands, but serves no requests: no other member
     has led meanwhile, and commands that it proposed can still be applied.
 
+    An unexpected error in the service is logged. Its volatile state may be
+    inconsistent then, so the service is started again from the replicated
+    state; the process and the calls of others go on.
+
     Parameters
     ----------
     group : str
@@ -41,6 +50,8 @@
         self._service = service
         self._led_term = 0
         self._running = False
+        self._faulty = False
+        self._restart_due_boot_ms = 0
 
     def lead(self, term: int) -> bool:
         """Set the term that this member leads, 0 if none.
@@ -53,6 +64,7 @@
         self._led_term = term
         if self._running:
             self._running = False
+            self._faulty = False
             self._service.step_down()
         return True
 
@@ -63,7 +75,9 @@
             return
         if not self._running:
             self._running = True
-            self._service.become_leader(now)
+            self._start(now)
+        elif self._faulty and now.boot_ms >= self._restart_due_boot_ms:
+            self._restart(now)
         if not self.serving:
             self.serving = True
             self.not_serving.clear()
@@ -77,8 +91,38 @@
         Commands of other terms are part of the state that the service
         starts from.
         """
-        if self._running and term == self._led_term:
-            self._service.on_applied(body, result, now)
+        if self._running and term == self._led_term and not self._faulty:
+            try:
+                self._service.on_applied(body, result, now)
+            except Exception:
+                self._record_fault("applied", type(body).__name__)
+
+    def tick(self, now: Instant) -> list[CommandBody]:
+        """Return the commands that the service proposes."""
+        if self._faulty:
+            return []
+        try:
+            return self._service.tick(now)
+        except Exception:
+            self._record_fault("tick", "")
+            return []
+
+    def _record_fault(self, event: str, command: str) -> None:
+        self._faulty = True
+        log_fault(self._group, event, command)
+
+    def _start(self, now: Instant) -> None:
+        try:
+            self._service.become_leader(now)
+        except Exception:
+            self._record_fault("start", "")
+
+    def _restart(self, now: Instant) -> None:
+        self._faulty = False
+        self._restart_due_boot_ms = now.boot_ms + RESTART_INTERVAL_MS
+        self._service.step_down()
+        self._start(now)
+        _LOG.info("service restarted", group=self._group)
 
     def _pause(self) -> None:
         if self.serving:
--- a/src/sardinespool/programs/store/pending.py
+++ b/src/sardinespool/programs/store/pending.py
@@ -5,8 +5,12 @@
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import ProposalLostError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages import codec
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
+from sardinespool.messages.commands import Command
+from sardinespool.messages.commands import CommandBody
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,3 +70,28 @@
     """Set the reply of a waiter."""
     if waiter.reply is not None and not waiter.reply.done():
         waiter.reply.set_result(reply)
+
+
+def encode_proposals(
+    proposals: list[tuple[CommandBody, Waiter]], now_unix_ms: int
+) -> tuple[tuple[bytes, ...], list[Waiter]]:
+    """Encode the commands; fail the waiters of those that can't be encoded.
+
+    Returns
+    -------
+    payloads : tuple of bytes
+        Encoded commands.
+    waiters : list of Waiter
+        Waiter of each payload.
+    """
+    payloads: list[bytes] = []
+    waiters: list[Waiter] = []
+    for body, waiter in proposals:
+        command = Command(proposed_unix_ms=now_unix_ms, body=body)
+        try:
+            payloads.append(codec.encode(command))
+        except InvalidMessageError as error:
+            fail(waiter, error)
+        else:
+            waiters.append(waiter)
+    return tuple(payloads), waiters
--- a/testing/platform/test_handlers.py
+++ b/testing/platform/test_handlers.py
@@ -114,7 +114,16 @@
     assert (response.header("Retry-After") is not None) == (status == 503)
 
 
-@pytest.mark.parametrize("body", [b"", b"[]", b'{"steps":[]}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"steps":[]}',
+        b'{"task_spec":"t","steps":[{"count":1,"cpu":1e30}]}',
+        b'{"task_spec":"t","steps":[{"count":1,"cpu":99999999999999999999}]}',
+    ],
+)
 def test_invalid_jobs_get_a_typed_error(body: bytes) -> None:
     """Guards against invalid jobs that are passed to the group."""
     group = FakeGroup(None)
@@ -207,3 +216,41 @@
     heartbeat_path = "/api/instances/i-1/heartbeat"
     assert call_core(group, "POST", heartbeat_path, b"\xff").status == 400
     assert group.calls == []
+
+
+@pytest.mark.parametrize(
+    ("target", "fields"),
+    [
+        ("/api/instances/i-1/heartbeat", {"born": 10**30}),
+        ("/api/instances/i-1/heartbeat", {"born": -1}),
+        ("/api/instances/i-1/heartbeat", {"clock_ms": 10**30}),
+        ("/api/instances/i-1/heartbeat", {"sequence": 10**30}),
+        ("/api/instances/i-1/heartbeat", {"capacity": {"cpu": 10**30}}),
+        ("/api/instances/i-1/leave", {"born": 10**30}),
+        ("/api/configuration/replace", {"version": 10**30}),
+    ],
+    ids=lambda value: str(value)[:40],
+)
+def test_numbers_that_no_command_can_hold_are_refused(
+    target: str, fields: dict[str, Any]
+) -> None:
+    """Guards against a message that ends the leader's process."""
+    body: dict[str, Any] = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 1, "requested_memory_mb": 1},
+        "clock_ms": 1,
+        "sequence": 1,
+        "version": 1,
+        "routes": [],
+        "services": [],
+    }
+    group = FakeGroup(Accepted())
+    encoded = json.dumps(body).encode()
+    assert call_core(group, "POST", target, encoded).status == 200
+    body["capacity"].update(fields.pop("capacity", {}))
+    encoded = json.dumps(body | fields).encode()
+    assert call_core(group, "POST", target, encoded).status == 400
+    assert len(group.calls) == 1
