Measure progress on the worker's clock

Cause: a run counted as stalled when its percentage had not changed for 2.5 s between two moments at which lists were read. A list that was written early and read late, after a pause of the leader within one term or a delay on the link, looked like a stall: the run was stopped and started again elsewhere, and its worker came nearer to being set aside.

Change: the moments are those of the worker's own clock, which each list names.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -226,7 +226,6 @@
             case StartRun():
                 if run.phase is RunPhase.ORDERED:
                     run.phase = RunPhase.RUNNING
-                    run.progress_boot_ms = now.boot_ms
             case StopRun():
                 run.stop_confirmed = True
             case PaceRun(percent=percent):
@@ -280,7 +279,7 @@
         present: set[tuple[str, int]] = set()
         for row in answer.running:
             present.add((row.task, row.run))
-            self._apply_running_row(worker, row, now)
+            self._apply_running_row(worker, row, answer.clock_ms, now)
         new_ends = False
         for ended in answer.ended:
             present.add((ended.task, ended.run))
@@ -303,10 +302,16 @@
         if new_ends:
             self._control.defer_acknowledgement(worker)
         self._pace_controller.update_paces(worker, now)
-        self._health.check_progress(worker, now, self._control)
+        self._health.check_progress(
+            worker, answer.clock_ms, now, self._control
+        )
 
     def _apply_running_row(
-        self, worker: WorkerState, row: RunningRun, now: Instant
+        self,
+        worker: WorkerState,
+        row: RunningRun,
+        clock_ms: int,
+        now: Instant,
     ) -> None:
         run = worker.runs.get((row.task, row.run))
         if run is None:
@@ -326,10 +331,9 @@
         run.listed = True
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
-            run.progress_boot_ms = now.boot_ms
         if row.percent != run.percent:
             run.percent = row.percent
-            run.progress_boot_ms = now.boot_ms
+            run.progress_clock_ms = clock_ms
         run.load = row.load
         if row.checkpoint:
             run.checkpoint = row.checkpoint
--- a/src/sardinespool/dispatch/health.py
+++ b/src/sardinespool/dispatch/health.py
@@ -67,9 +67,20 @@
             self._record_failure(worker, run, now, "failed")
 
     def check_progress(
-        self, worker: WorkerState, now: Instant, control: RunStopper
+        self,
+        worker: WorkerState,
+        clock_ms: int,
+        now: Instant,
+        control: RunStopper,
     ) -> None:
-        """Stop runs that make no progress at full pace."""
+        """Stop runs that make no progress at full pace.
+
+        Parameters
+        ----------
+        clock_ms : int
+            The worker's clock when it listed its runs. Time in which the
+            lists were delayed, or this process was paused, does not count.
+        """
         for run in list(worker.runs.values()):
             step = run.step
             if (
@@ -79,9 +90,10 @@
                 or step.spec.long_running
                 or run.pace != FULL_PACE
                 or run.target_pace != FULL_PACE
+                or run.progress_clock_ms is None
             ):
-                run.progress_boot_ms = now.boot_ms
-            elif now.boot_ms - run.progress_boot_ms > STALL_TIMEOUT_MS:
+                run.progress_clock_ms = clock_ms
+            elif clock_ms - run.progress_clock_ms > STALL_TIMEOUT_MS:
                 self._record_failure(worker, run, now, "stalled")
                 control.stop_run(worker, run, "no progress")
 
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -48,8 +48,9 @@
         Tail latency or processor use, see `RunningRun`.
     tail : TailHistory
         History of the reports of a serving run.
-    progress_boot_ms : int
-        When `percent` last changed.
+    progress_clock_ms : int or None
+        Reading of the worker's clock when it listed a changed `percent`; None
+        before the first list. An answer can be read long after it was sent.
     throttled_since_boot_ms : int or None
         Since when the run has been throttled.
     """
@@ -66,7 +67,7 @@
         "target_pace",
         "percent",
         "phase",
-        "progress_boot_ms",
+        "progress_clock_ms",
         "retry_boot_ms",
         "run",
         "sent",
@@ -107,7 +108,7 @@
         self.percent = 0
         self.load: int | None = None
         self.throttled_since_boot_ms: int | None = None
-        self.progress_boot_ms = now_boot_ms
+        self.progress_clock_ms: int | None = None
         self.tail = TailHistory()
         self.pace = FULL_PACE
         self.target_pace = FULL_PACE
--- a/testing/dispatch/test_late_reports.py
+++ b/testing/dispatch/test_late_reports.py
@@ -1,5 +1,7 @@
 """Reports of workers that arrive late, twice or from an earlier process."""
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -145,3 +147,39 @@
     assert simulation.oracle.violations == []
     assert simulation.oracle.starts == 2
     assert simulation.machine.table.workflows["job"].state == "completed"
+
+
+@pytest.mark.parametrize(
+    ("worker_time_ms", "stops"),
+    [(300, False), (2_400, False), (2_700, True)],
+)
+def test_late_list_is_not_taken_for_a_stall(
+    worker_time_ms: int, stops: bool
+) -> None:
+    """Guards against work that is given up because its report was late.
+
+    The leader was paused, or the report was on its way, for four seconds; the
+    worker wrote its lists in less time.
+    """
+    simulation = Simulation(3, workers=1)
+    worker = simulation.workers["w0"]
+    worker.hanging = True
+    simulation.submit(
+        "job", StepSpec(count=1, processors_millicores=1_000, memory_mb=100)
+    )
+    while simulation.oracle.starts == 0:
+        simulation.run(5)
+    simulation.run(100)
+    lists = worker.lists(simulation.now_ms)
+    (run,) = simulation.dispatcher.fleet.workers["w0"].runs.values()
+    for listed_ms, received_ms in ((0, 0), (worker_time_ms, 4_000)):
+        now = simulation.now().after(received_ms)
+        simulation.dispatcher.handle_renewal_result(
+            "w0",
+            worker.incarnation,
+            RenewLease(simulation.term, acknowledged_end=0, wait_ms=0),
+            dataclasses.replace(lists, clock_ms=lists.clock_ms + listed_ms),
+            now.boot_ms,
+            now,
+        )
+    assert run.stop_requested == stops
