Check the right to send orders after connecting

Cause: a member checked that it led, then opened the connection to the worker, which takes up to 500 ms, and sent the order without another check. A process that was paused in between, or whose lease ended, sent orders on a right that had run out. Workers that had not seen the next leader's token carried them out.

Change: the client checks again right before the first byte. An order that is withheld says nothing of the worker, which stays in use.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -20,6 +20,7 @@
 from sardinespool.dispatch.orders import RunningRun
 from sardinespool.dispatch.orders import StartRun
 from sardinespool.dispatch.orders import StopRun
+from sardinespool.dispatch.orders import Withheld
 from sardinespool.dispatch.pace_controller import PaceController
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
@@ -123,6 +124,9 @@
                 )
             case OtherWorker():
                 self._handle_replaced_worker(worker)
+            case Withheld():
+                # It says nothing of the worker.
+                pass
             case NoAnswer(reason=reason):
                 self._mark_unresponsive(worker, reason)
 
@@ -146,6 +150,8 @@
                 self._handle_refusal(worker, run, order, reason, now)
             case OtherWorker():
                 self._handle_replaced_worker(worker)
+            case Withheld():
+                run.retry_boot_ms = now.boot_ms + self._settings.retry_ms
             case NoAnswer(sent=sent, reason=reason):
                 run.retry_boot_ms = now.boot_ms + self._settings.retry_ms
                 if sent and isinstance(order, StartRun):
--- a/src/sardinespool/dispatch/orders.py
+++ b/src/sardinespool/dispatch/orders.py
@@ -98,7 +98,12 @@
     reason: str
 
 
-OrderResult = OrderDone | OrderRefused | OtherWorker | NoAnswer
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """Not sent, as this member no longer led when it was about to be."""
+
+
+OrderResult = OrderDone | OrderRefused | OtherWorker | NoAnswer | Withheld
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,4 +142,6 @@
     ended: tuple[EndedRun, ...]
 
 
-RenewLeaseResult = LeaseRenewed | OrderRefused | OtherWorker | NoAnswer
+RenewLeaseResult = (
+    LeaseRenewed | OrderRefused | OtherWorker | NoAnswer | Withheld
+)
--- a/src/sardinespool/platform/worker_client.py
+++ b/src/sardinespool/platform/worker_client.py
@@ -1,6 +1,7 @@
 """Client for the workers' HTTP API over persistent connections."""
 
 import weakref
+from collections.abc import Callable
 
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import Order
@@ -11,6 +12,7 @@
 from sardinespool.dispatch.orders import Refusal
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import RenewLeaseResult
+from sardinespool.dispatch.orders import Withheld
 from sardinespool.dispatch.renewal_guard import RenewalGuard
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.worker_reports import WorkerDescription
@@ -51,7 +53,11 @@
         ] = weakref.WeakKeyDictionary()
 
     async def renew_lease(
-        self, worker: WorkerDescription, renewal: RenewLease, timeout_ms: int
+        self,
+        worker: WorkerDescription,
+        renewal: RenewLease,
+        timeout_ms: int,
+        may_send: Callable[[], bool],
     ) -> RenewLeaseResult:
         """Extend the lease of a worker and return its list of runs."""
         connection = await self._connections.connect(
@@ -59,6 +65,8 @@
         )
         if isinstance(connection, ExchangeNotSent):
             return NoAnswer(sent=False, reason=connection.reason)
+        if not may_send():
+            return Withheld()
         guard = self._guards.setdefault(connection, RenewalGuard())
         path, body = encode_renew_lease(
             guard.prepare(renewal, worker.incarnation)
@@ -83,11 +91,24 @@
         connection_index: int,
         order: Order,
         timeout_ms: int,
+        may_send: Callable[[], bool],
     ) -> OrderResult:
         """Send an order and return whether the worker carried it out."""
+        connection = await self._connections.connect(
+            worker.worker_id, connection_index, worker.address
+        )
+        if isinstance(connection, ExchangeNotSent):
+            return NoAnswer(sent=False, reason=connection.reason)
+        if not may_send():
+            return Withheld()
         path, body = encode_order(order)
-        response = await self._call(
-            worker, connection_index, path, body, timeout_ms
+        response = _response_of(
+            await connection.exchange(
+                _request_of(worker, path, body),
+                "",
+                lambda: True,
+                timeout_ms / 1000,
+            )
         )
         if not isinstance(response, HttpResponse):
             return response
@@ -97,24 +118,6 @@
         """Close all connections to a worker."""
         self._connections.close_connections(worker_id)
 
-    async def _call(
-        self,
-        worker: WorkerDescription,
-        connection_index: int,
-        path: str,
-        body: bytes,
-        timeout_ms: int,
-    ) -> HttpResponse | NoAnswer:
-        return _response_of(
-            await self._connections.exchange(
-                worker.worker_id,
-                connection_index,
-                worker.address,
-                _request_of(worker, path, body),
-                timeout_ms,
-            )
-        )
-
 
 def _request_of(
     worker: WorkerDescription, path: str, body: bytes
--- a/src/sardinespool/programs/controller/worker_caller.py
+++ b/src/sardinespool/programs/controller/worker_caller.py
@@ -1,5 +1,6 @@
 """Interface for calls to workers."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from sardinespool.dispatch.orders import Order
@@ -10,10 +11,18 @@
 
 
 class WorkerCaller(Protocol):
-    """Sends lease renewals and orders to workers over their protocol."""
+    """Sends lease renewals and orders to workers over their protocol.
+
+    `may_send` is checked right before the first byte is sent, as connecting
+    takes time and the process may be paused meanwhile.
+    """
 
     async def renew_lease(
-        self, worker: WorkerDescription, renewal: RenewLease, timeout_ms: int
+        self,
+        worker: WorkerDescription,
+        renewal: RenewLease,
+        timeout_ms: int,
+        may_send: Callable[[], bool],
     ) -> RenewLeaseResult:
         """Send a lease renewal; a failed call does not raise."""
 
@@ -23,6 +32,7 @@
         connection_index: int,
         order: Order,
         timeout_ms: int,
+        may_send: Callable[[], bool],
     ) -> OrderResult:
         """Send an order over the indexed connection and return the answer."""
 
--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -37,9 +37,9 @@
         Client that sends them.
     settings : DispatchSettings
         Timeouts and retry delay.
-    may_send : callable
+    is_leading : callable
         Returns whether this member leads; checked before each call.
-    plan_soon : callable
+    request_planning : callable
         Called when an answer may require a new plan.
     """
 
@@ -124,6 +124,7 @@
                 description,
                 renewal,
                 renewal.wait_ms + self._settings.order_timeout_ms,
+                self._is_leading,
             )
             self._dispatcher.handle_renewal_result(
                 self._worker_id,
@@ -159,6 +160,7 @@
                 connection_index,
                 order,
                 self._settings.order_timeout_ms,
+                self._is_leading,
             )
             self._dispatcher.handle_order_result(
                 self._worker_id,
--- a/src/sardinespool/transport/indexed_http_connections.py
+++ b/src/sardinespool/transport/indexed_http_connections.py
@@ -5,8 +5,6 @@
 from sardinespool.settings.addresses import split_address
 from sardinespool.transport.http_client import HttpConnection
 from sardinespool.transport.http_messages import ExchangeNotSent
-from sardinespool.transport.http_messages import ExchangeResult
-from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_stream import open_stream
 
 RESPONSE_LIMIT_BYTES = 1_048_576
@@ -26,22 +24,6 @@
         self._connections: dict[tuple[str, int], HttpConnection] = {}
         self._addresses: dict[str, str] = {}
 
-    async def exchange(
-        self,
-        server: str,
-        connection_index: int,
-        address: str,
-        request: HttpRequest,
-        timeout_ms: int,
-    ) -> ExchangeResult:
-        """Send a request over a connection, opened first if needed."""
-        connection = await self.connect(server, connection_index, address)
-        if isinstance(connection, ExchangeNotSent):
-            return connection
-        return await connection.exchange(
-            request, "", lambda: True, timeout_ms / 1000
-        )
-
     async def connect(
         self, server: str, connection_index: int, address: str
     ) -> HttpConnection | ExchangeNotSent:
--- a/testing/platform/test_worker_client.py
+++ b/testing/platform/test_worker_client.py
@@ -3,12 +3,15 @@
 import asyncio
 import json
 import socket
+from typing import Any
 
 import pytest
 
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.orders import RenewLease
+from sardinespool.dispatch.orders import StopRun
+from sardinespool.dispatch.orders import Withheld
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.platform.worker_client import WorkerClient
 from sardinespool.transport.http_messages import HttpResponse
@@ -78,7 +81,8 @@
 ) -> list[object]:
     renewal = RenewLease(fencing_token=1, acknowledged_end=57, wait_ms=0)
     return [
-        await client.renew_lease(worker, renewal, 1_000) for _ in range(count)
+        await client.renew_lease(worker, renewal, 1_000, lambda: True)
+        for _ in range(count)
     ]
 
 
@@ -142,3 +146,43 @@
     assert answers == [answer, answer]
     known = isinstance(answer, LeaseRenewed)
     assert acknowledged == [0, 57 if known else 0]
+
+
+@pytest.mark.parametrize("kind", ["renewal", "order"])
+def test_nothing_is_sent_after_the_right_to_send_has_ended(kind: str) -> None:
+    """Guards against orders of a member that no longer leads.
+
+    Its lease ends while the connection to the worker is being opened, as when
+    the process is paused.
+    """
+
+    async def run() -> tuple[object, list[int]]:
+        address = free_address()
+        connections = IndexedHttpConnections()
+        client = WorkerClient(connections)
+        worker = StubWorker(address, 1, b"")
+        worker.start()
+        leads = [True]
+        connect = connections.connect
+
+        async def connect_and_pause(*arguments: Any) -> Any:
+            connection = await connect(*arguments)
+            leads[0] = False
+            return connection
+
+        connections.connect = connect_and_pause  # type: ignore[method-assign]
+        description = describe(address, 1)
+        answer: object
+        if kind == "renewal":
+            answer = await client.renew_lease(
+                description, RenewLease(1, 57, 0), 1_000, lambda: leads[0]
+            )
+        else:
+            answer = await client.order(
+                description, 0, StopRun("t", 1, 1), 1_000, lambda: leads[0]
+            )
+        client.close_connections("w")
+        await worker.stop()
+        return answer, worker.acknowledged
+
+    assert asyncio.run(run()) == (Withheld(), [])
