End late orders with the process of their connection in the simulation

Cause of the finding (seeds 32 and 66 of test_worker_restarts_break_no_rule): the simulation delivers an unanswered order to whichever process of the worker is up seconds later. A trace shows that the orders that broke the rule were sent while no process was up: seed 32 at 2,025, 2,675 and 3,325 ms, executed at 5,165 ms by a process that started at 4,585 ms. An order leaves on a TCP connection, which such a worker refuses, and which ends with the process that accepted it, so no later process can read the order.

Change: the simulation can bind an order to the process that was up when it was sent. The rows that deliver it to any process stay as they are; rows with the binding are added for both seeds and eight others.

--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -70,7 +70,17 @@
 
 
 class Simulation:
-    """One control group with leader changes, and its workers."""
+    """One control group with leader changes, and its workers.
+
+    Attributes
+    ----------
+    workers_check_incarnation : bool
+        Whether a worker refuses calls to an earlier process.
+    connections_end_with_process : bool
+        Whether an order is executed only by the process that was up when it
+        was sent, as the connection ends with it. Otherwise a later process
+        may execute it too.
+    """
 
     def __init__(
         self, seed: int, workers: int = 4, oracle: Oracle | None = None
@@ -85,6 +95,7 @@
         self.serving = False
         self.lapsed = False
         self.workers_check_incarnation = False
+        self.connections_end_with_process = False
         self.workers = {
             f"w{number}": FakeWorker(
                 f"w{number}", self.oracle, self.random.getrandbits(32)
@@ -350,11 +361,21 @@
                 self.at(2, lambda a=answer, r=result: a(r))
                 continue
             if self.random.random() < self.faults.late:
+                process = worker.incarnation if worker.up else None
 
                 def late(
-                    order: object = order, incarnation: int = incarnation
+                    order: object = order,
+                    incarnation: int = incarnation,
+                    process: int | None = process,
                 ) -> None:
-                    if worker.up and not self._is_refused(worker, incarnation):
+                    if (
+                        worker.up
+                        and not self._is_refused(worker, incarnation)
+                        and (
+                            process == worker.incarnation
+                            or not self.connections_end_with_process
+                        )
+                    ):
                         worker.execute(order, self.now_ms)
 
                 self.at(self.random.randint(2_000, 12_000), late)
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -91,6 +91,22 @@
 def test_worker_restarts_break_no_rule(seed: int) -> None:
     """Guards against lost runs that still count as running."""
     simulation = Simulation(seed)
+    restart_workers(simulation, seed)
+
+
+# Without the end of connections, process 3 executed an order for process 2.
+@pytest.mark.parametrize("seed", [32, 66, *range(100, 108)])
+def test_late_orders_end_with_the_process_of_their_connection(
+    seed: int,
+) -> None:
+    """Guards against a start after the task's end was acknowledged."""
+    simulation = Simulation(seed)
+    simulation.connections_end_with_process = True
+    restart_workers(simulation, seed)
+
+
+def restart_workers(simulation: Simulation, seed: int) -> None:
+    """Crash and restart workers while orders are late, then check the jobs."""
     simulation.faults.unanswered = 0.05
     simulation.faults.late = 0.5
     rng = random.Random(seed)
