Remember which process of a worker has left

Cause: the departure of a worker removed all that was known of it. A heartbeat that was sent before and arrived late, held up by a cut or sent again to another member, registered the worker once more, as ready even if it had drained; a new leader and a restarted member knew no better.

A heartbeat of that or an earlier process is acknowledged and ignored; the next process registers as before.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -116,6 +116,13 @@
     def needs_record(self, report: ReportWorker, now: Instant) -> bool:
         """Process a heartbeat; return whether it must be committed."""
         description = report.description
+        if self._machine.has_departed(description):
+            _LOG.info(
+                "ignored a heartbeat of a worker that left",
+                worker=description.worker_id,
+                life=description.incarnation,
+            )
+            return False
         recorded = self._machine.workers.get(description.worker_id)
         if (
             recorded is not None
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -31,6 +31,11 @@
 from sardinespool.workflows.table import WorkflowTable
 
 
+DEPARTED_MAX = 2_000
+"""Departed workers that are remembered; the earliest are forgotten first. A
+late heartbeat arrives within seconds of the departure."""
+
+
 class ControlMachine:
     """Manifest, jobs, workers and evacuated failure domains.
 
@@ -46,6 +51,8 @@
         Failure domains whose workers are assigned no more tasks.
     workers : dict of str to WorkerDescription
         Latest known incarnation of each worker.
+    departed : dict of str to int
+        Last incarnation of each worker that left, in the order of leaving.
     estimates : RecordEstimates or None
         Interference estimates that earlier leaders recorded.
     """
@@ -56,6 +63,7 @@
         self.table = WorkflowTable()
         self.evacuated: set[str] = set()
         self.workers: dict[str, WorkerDescription] = {}
+        self.departed: dict[str, int] = {}
         self.estimates: RecordEstimates | None = None
 
     def current_queue(self, workflow: WorkflowRecord) -> QueueSpec:
@@ -99,6 +107,7 @@
                     and stored.incarnation == body.incarnation
                 ):
                     del self.workers[body.worker_id]
+                    self._remember_departure(body)
             case RecordEstimates() as body:
                 self.estimates = body
             case FormGroup(group_incarnation=incarnation):
@@ -121,6 +130,7 @@
                 evacuated=tuple(sorted(self.evacuated)),
                 workers=tuple(self.workers.values()),
                 estimates=self.estimates,
+                departed=self.departed,
                 workflows=tuple(
                     snapshot_of(item) for item in self.table.workflows.values()
                 ),
@@ -136,6 +146,7 @@
             self.manifest.put(snapshot.manifest)
         self.evacuated = set(snapshot.evacuated)
         self.estimates = snapshot.estimates
+        self.departed = dict(snapshot.departed)
         self.workers = {item.worker_id: item for item in snapshot.workers}
         self.table = WorkflowTable()
         self.table.workflows = {
@@ -165,7 +176,24 @@
         self.manifest.put(body)
         return Accepted()
 
+    def has_departed(self, description: WorkerDescription) -> bool:
+        """Return whether this or a later incarnation of a worker has left.
+
+        A worker that does not report its start time can't be told from its
+        next process, so it never counts as departed.
+        """
+        last = self.departed.get(description.worker_id, 0)
+        return 0 < description.incarnation <= last
+
+    def _remember_departure(self, body: DropWorker) -> None:
+        self.departed.pop(body.worker_id, None)
+        self.departed[body.worker_id] = body.incarnation
+        while len(self.departed) > DEPARTED_MAX:
+            del self.departed[next(iter(self.departed))]
+
     def _put_worker(self, description: WorkerDescription) -> None:
+        if self.has_departed(description):
+            return
         stored = self.workers.get(description.worker_id)
         if stored is not None:
             if description.incarnation < stored.incarnation:
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -50,7 +50,10 @@
 
 
 class ControlSnapshot(msgspec.Struct, frozen=True):
-    """Complete stored state of a control group."""
+    """Complete stored state of a control group.
+
+    Earlier builds store no `departed`.
+    """
 
     group_incarnation: str
     manifest: PublishManifest | None
@@ -58,6 +61,7 @@
     workers: tuple[WorkerDescription, ...]
     workflows: tuple[WorkflowSnapshot, ...]
     estimates: RecordEstimates | None = None
+    departed: dict[str, int] = {}
 
 
 _DECODER = msgspec.msgpack.Decoder(ControlSnapshot)
--- a/testing/dispatch/test_late_reports.py
+++ b/testing/dispatch/test_late_reports.py
@@ -183,3 +183,36 @@
             now,
         )
     assert run.stop_requested == stops
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("changes_leader", [False, True])
+def test_worker_that_left_is_not_in_use_again(
+    changes_leader: bool, restarts: bool
+) -> None:
+    """Guards against a late heartbeat that registers a departed worker.
+
+    Its next process, which has a later start time, is registered.
+    """
+    simulation = Simulation(1)
+    simulation.run(1_500)
+    worker = simulation.workers["w0"]
+    late = worker.description()
+    simulation.request(
+        WorkerLeaves(worker_id="w0", incarnation=worker.incarnation)
+    )
+    worker.crash()
+    if changes_leader:
+        snapshot = simulation.machine.snapshot()
+        simulation.lose_leader(50)
+        simulation.machine.restore(snapshot)
+        simulation.run(60)
+    simulation.request(
+        ReportWorker(description=late, sequence=1_000_000, clock_ms=1)
+    )
+    assert "w0" not in simulation.machine.workers
+    if restarts:
+        worker.start_incarnation(simulation.now_ms)
+        simulation.run(HEARTBEAT_INTERVAL_MS + 100)
+    assert ("w0" in simulation.machine.workers) == restarts
+    assert ("w0" in simulation.dispatcher.fleet.workers) == restarts
