Start the jobs that can still end in time, not those next to be late

Cause: waiting steps were ordered by the time left to their objective. Under load that the fleet can't serve, each job then starts just before it is late, its tasks compete with those of all others, and most jobs end late.

Change: a module of its own (step_priority) orders first by whether the job can end in time, then by the share of its work that is left; while a queue is congested, jobs that have not begun start newest first, as those that have waited long end late in either order.

--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -14,15 +14,15 @@
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.step_priority import congested_queues
+from sardinespool.dispatch.step_priority import step_priority
+from sardinespool.dispatch.step_priority import StepPriority
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import Assignment
-from sardinespool.workflows.critical_path import critical_path_ms
 from sardinespool.workflows.records import StepRecord
 
-EXPIRY_OBJECTIVES = 3
-"""Multiple of the completion objective after which a result has no value."""
 CLEANUP_INTERVAL_MS = 5_000
 STARTS_PER_PASS_MAX = 400
 """Bounds the time of a pass; the next pass places the remaining tasks."""
@@ -301,53 +301,33 @@
         Long-running steps appear twice: each gets half of its tasks before
         any gets the rest, as partial service is better than none.
         """
-        entries = [
-            (self._sort_key(step, now, 0), step, first_round_size(step))
+        queues = [
+            (step, self._machine.current_queue(step.workflow))
             for step in steps
         ]
-        entries += [
-            (self._sort_key(step, now, 1), step, step.spec.count)
-            for step in steps
-            if first_round_size(step) < step.spec.count
-        ]
+        congested = congested_queues(queues, now.unix_ms)
+        entries: list[tuple[StepPriority, StepRecord, int]] = []
+        for step, queue in queues:
+            first_size = first_round_size(step)
+            rounds = (
+                (first_size,)
+                if first_size == step.spec.count
+                else (first_size, step.spec.count)
+            )
+            for round_, tasks_max in enumerate(rounds):
+                priority = step_priority(
+                    step,
+                    queue,
+                    now.unix_ms,
+                    round_,
+                    self._is_overdue(step, now),
+                    queue.name in congested,
+                )
+                entries.append((priority, step, tasks_max))
         entries.sort(key=lambda entry: entry[0])
         for _, step, tasks_max in entries:
             yield step, tasks_max
 
-    def _sort_key(
-        self, step: StepRecord, now: Instant, round_: int
-    ) -> tuple[bool, int, bool, int, str, int, int, str, int]:
-        """Return a sort key: priority, then the time left to the objective.
-
-        Overdue steps precede all others, as they take room only once.
-        Long-running steps are sorted by image, which keeps serving images on
-        separate workers. Jobs past their objective follow those that can
-        still meet it; jobs past `EXPIRY_OBJECTIVES` come last.
-        """
-        workflow = step.workflow
-        queue = self._machine.current_queue(workflow)
-        objective_ms = queue.latency_objective_ms + int(
-            queue.stretch * critical_path_ms(workflow.spec)
-        )
-        age_ms = now.unix_ms - workflow.accepted_unix_ms
-        lateness = 0
-        if not step.spec.long_running:
-            lateness = (age_ms > objective_ms) + (
-                age_ms > EXPIRY_OBJECTIVES * objective_ms
-            )
-        return (
-            not self._is_overdue(step, now),
-            queue.priority,
-            # Long-running tasks can wait until short ones have ended.
-            step.spec.long_running,
-            round_,
-            step.spec.image if step.spec.long_running else "",
-            lateness,
-            objective_ms - age_ms,
-            workflow.job_id,
-            step.position,
-        )
-
     def _place_step(
         self,
         step: StepRecord,
--- /dev/null
+++ b/src/sardinespool/dispatch/step_priority.py
@@ -0,0 +1,181 @@
+"""Order of the ready steps when not all of their tasks find a worker.
+
+Load pattern: more jobs arrive than can end within their objectives, for
+seconds or all day. By the time left alone, each job starts just before it is
+late, its tasks compete with those of all others, and most jobs end late. A job
+has a value only as a whole, so jobs that can still end in time come first, and
+among these the ones that have least of their work left. While a queue is
+congested, jobs that have not begun start newest first: those that have waited
+long end late in either order, and would make the later ones late as well.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sardinespool.messages.manifest import QueueSpec
+from sardinespool.workflows.records import StepRecord
+
+EXPIRY_OBJECTIVES = 3
+"""Multiple of the completion objective after which a result has no value."""
+RESERVED_SLOWDOWN = 1.15
+"""Expected run time of a step on reserved processors, as a multiple of that of
+one of its tasks: the last of many tasks ends later than the average one."""
+BEST_EFFORT_SLOWDOWN = 1.5
+"""The same on leftover processors, which other tasks take at times."""
+RUNNING_TASK_WORK = 0.5
+"""Share of the work that an assigned task has left on average."""
+CONGESTED_OBJECTIVE_SHARE = 0.8
+"""Share of the objective that a waiting job may be expected to need before its
+queue counts as congested."""
+
+
+class StepPriority(NamedTuple):
+    """Sort key of a step; steps with a smaller one are placed first.
+
+    Attributes
+    ----------
+    awaits : bool
+        Whether the step is not overdue. Overdue steps take room only once.
+    queue_priority : int
+        Priority of the queue.
+    long_running : bool
+        Long-running tasks can wait until short ones have ended.
+    round_ : int
+        Placement round: half of a long-running step is placed before any
+        other gets the rest.
+    image : str
+        Image of a long-running step; serving images stay on separate workers.
+    lateness : int
+        0 if the job can end within its objective, 1 if it can end before it
+        expires, 2 otherwise.
+    work_left : float
+        Share of the job's work that is left, in hundredths; long-running
+        steps have none.
+    order_ms : int
+        Negated age of the job, which puts the oldest first; the age of a job
+        that has not begun in a congested queue.
+    job_id : str
+        Id of the job.
+    position : int
+        Position of the step in the job.
+    """
+
+    awaits: bool
+    queue_priority: int
+    long_running: bool
+    round_: int
+    image: str
+    lateness: int
+    work_left: float
+    order_ms: int
+    job_id: str
+    position: int
+
+
+def step_priority(
+    step: StepRecord,
+    queue: QueueSpec,
+    now_unix_ms: int,
+    round_: int,
+    overdue: bool,
+    congested: bool,
+) -> StepPriority:
+    """Return the sort key of a ready step.
+
+    Parameters
+    ----------
+    step : StepRecord
+        A ready step.
+    queue : QueueSpec
+        Queue of its job in the active manifest.
+    now_unix_ms : int
+        Current time in milliseconds since 1970.
+    round_ : int
+        Placement round, 0 or 1.
+    overdue : bool
+        Whether a long-running step has waited too long.
+    congested : bool
+        Whether the queue is congested, see `congested_queues`.
+    """
+    workflow = step.workflow
+    spec = step.spec
+    objective_ms = objective_of(step, queue)
+    age_ms = now_unix_ms - workflow.accepted_unix_ms
+    newest_first = congested and not workflow.begun and not spec.long_running
+    return StepPriority(
+        awaits=not overdue,
+        queue_priority=queue.priority,
+        long_running=spec.long_running,
+        round_=round_,
+        image=spec.image if spec.long_running else "",
+        lateness=0
+        if spec.long_running
+        else lateness(step, objective_ms, age_ms),
+        work_left=0.0 if spec.long_running else work_left(step),
+        order_ms=age_ms if newest_first else -age_ms,
+        job_id=workflow.job_id,
+        position=step.position,
+    )
+
+
+def congested_queues(
+    steps: Iterable[tuple[StepRecord, QueueSpec]], now_unix_ms: int
+) -> set[str]:
+    """Return the names of the queues whose jobs wait too long to begin.
+
+    Parameters
+    ----------
+    steps : iterable of (StepRecord, QueueSpec)
+        Ready steps with the queues of their jobs.
+    now_unix_ms : int
+        Current time in milliseconds since 1970.
+    """
+    names: set[str] = set()
+    for step, queue in steps:
+        if (
+            queue.name in names
+            or step.workflow.begun
+            or step.spec.long_running
+        ):
+            continue
+        age_ms = now_unix_ms - step.workflow.accepted_unix_ms
+        if (
+            age_ms + step.remaining_path_ms
+            > CONGESTED_OBJECTIVE_SHARE * objective_of(step, queue)
+        ):
+            names.add(queue.name)
+    return names
+
+
+def objective_of(step: StepRecord, queue: QueueSpec) -> int:
+    """Return the completion objective of a step's job in milliseconds."""
+    return queue.latency_objective_ms + int(
+        queue.stretch * step.workflow.critical_path_ms
+    )
+
+
+def lateness(step: StepRecord, objective_ms: int, age_ms: int) -> int:
+    """Return 0, 1 or 2 for a job expected in time, late or too late."""
+    slowdown = (
+        BEST_EFFORT_SLOWDOWN
+        if step.spec.uses_leftover_processors
+        else RESERVED_SLOWDOWN
+    )
+    end_age_ms = age_ms + slowdown * step.remaining_path_ms
+    return (end_age_ms > objective_ms) + (
+        end_age_ms > EXPIRY_OBJECTIVES * objective_ms
+    )
+
+
+def work_left(step: StepRecord) -> float:
+    """Return the share of the work of a step's occurrence that is left."""
+    total = left = 0.0
+    for other in step.workflow.occurrences[step.occurrence]:
+        spec = other.spec
+        task_work = max(1, spec.expected_run_ms) * max(
+            1, spec.processors_millicores
+        )
+        running = other.remaining - len(other.waiting)
+        total += task_work * spec.count
+        left += task_work * (len(other.waiting) + RUNNING_TASK_WORK * running)
+    return round(left / total, 2)
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -30,7 +30,6 @@
 from sardinespool.workflows.snapshot import snapshot_of
 from sardinespool.workflows.table import WorkflowTable
 
-
 DEPARTED_MAX = 2_000
 """Departed workers that are remembered; the earliest are forgotten first. A
 late heartbeat arrives within seconds of the departure."""
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -12,6 +12,8 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.messages.workflows import WorkflowState
+from sardinespool.workflows.critical_path import critical_path_ms
+from sardinespool.workflows.critical_path import remaining_path_ms
 from sardinespool.workflows.task_key import task_key
 
 
@@ -115,6 +117,8 @@
     ----------
     remaining : int
         Number of tasks that are not done.
+    remaining_path_ms : int
+        Expected run time of the longest path from this step on.
     waiting : set of int
         Indexes of the tasks that are neither assigned nor done.
     """
@@ -123,6 +127,7 @@
         "occurrence",
         "position",
         "remaining",
+        "remaining_path_ms",
         "spec",
         "tasks",
         "waiting",
@@ -142,6 +147,7 @@
         self.spec = spec
         self.tasks = [TaskRecord(self, index) for index in range(spec.count)]
         self.remaining = spec.count
+        self.remaining_path_ms = remaining_path_ms(workflow.spec, position)
         self.waiting = set(range(spec.count))
 
     @property
@@ -181,6 +187,8 @@
         no longer has the queue.
     begun : bool
         Whether a task of the job was ever assigned.
+    critical_path_ms : int
+        Expected run time of the critical path.
     occurrences : dict of int to list of StepRecord
         Steps of the opened occurrences.
     """
@@ -188,6 +196,7 @@
     __slots__ = (
         "accepted_unix_ms",
         "begun",
+        "critical_path_ms",
         "done_occurrences",
         "ended_unix_ms",
         "job_id",
@@ -210,6 +219,7 @@
         self.accepted_unix_ms = accepted_unix_ms
         self.state: WorkflowState = "queued"
         self.begun = False
+        self.critical_path_ms = critical_path_ms(spec)
         self.ended_unix_ms = 0
         self.occurrences: dict[int, list[StepRecord]] = {}
         self.done_occurrences = 0
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 from sardinespool.dispatch.orders import EndedRun
 from sardinespool.dispatch.orders import LeaseRenewed
@@ -53,6 +54,8 @@
         Whether all runs on this worker fail, or never progress.
     failure_ratio : float
         Share of the other runs that fail.
+    run_time_ms : callable or None
+        Run time of a task by its name; drawn at random if None.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -64,6 +67,7 @@
         self.failing = failing
         self.hanging = False
         self.failure_ratio = 0.05
+        self.run_time_ms: Callable[[str], int] | None = None
         self.fenced = 0
         self.up = True
         self.reachable = True
@@ -202,6 +206,8 @@
         if self.failing or self._random.random() < self.failure_ratio:
             outcome = "failed"
         duration_ms = self._random.randint(100, 1_500)
+        if self.run_time_ms is not None:
+            duration_ms = self.run_time_ms(order.task)
         if self.hanging:
             duration_ms = NEVER_MS
         self.running[order.task] = Running(
