Log congested queues, and move the choice of obsolete runs out

Change: one line when a queue becomes congested and one when it no longer is, with the number of waiting jobs, and a gauge congested_queues. The functions that find the runs to stop stand in obsolete_runs.py; what they return is as before.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch import obsolete_runs
 from sardinespool.dispatch import run_log
 from sardinespool.dispatch.answer_handler import AnswerHandler
 from sardinespool.dispatch.end_queue import EndQueue
@@ -152,24 +153,16 @@
 
     def stop_job(self, job_id: str, reason: str) -> None:
         """Stop all runs of a job."""
-        for worker in self.fleet.workers.values():
-            for run in list(worker.runs.values()):
-                if (
-                    run.task is not None
-                    and run.task.step.workflow.job_id == job_id
-                ):
-                    self.stop_run(worker, run, reason)
+        for worker, run in obsolete_runs.runs_of_job(self.fleet, job_id):
+            self.stop_run(worker, run, reason)
 
     def _stop_runs_of_ended_jobs(self) -> None:
         """Stop the remaining runs of jobs that ended under an earlier leader.
 
         Its stop orders may not have been sent or answered.
         """
-        for worker in self.fleet.workers.values():
-            for run in list(worker.runs.values()):
-                if run.step is not None and run.step.workflow.is_final:
-                    state = run.step.workflow.state
-                    self.stop_run(worker, run, f"job already {state}")
+        for worker, run, state in obsolete_runs.runs_of_ended_jobs(self.fleet):
+            self.stop_run(worker, run, f"job already {state}")
 
     def stop_run(
         self, worker: WorkerState, run: RunState, reason: str
@@ -229,21 +222,13 @@
 
         That run had been given up too early.
         """
-        task = self._machine.table.task(task_key)
-        if task is None or task.step.spec.long_running:
-            return
-        later_runs = [
-            (worker, run)
-            for worker, run in self._planned_runs
-            if run.task in task.members
-        ]
-        for member in task.members:
-            worker = self.fleet.workers.get(member.worker_id)
-            if worker is not None:
-                run = worker.runs.get((member.key, member.run))
-                if run is not None and run.run > done_run:
-                    later_runs.append((worker, run))
-        for worker, run in later_runs:
+        for worker, run in obsolete_runs.runs_after_done(
+            self._machine.table,
+            self.fleet,
+            self._planned_runs,
+            task_key,
+            done_run,
+        ):
             self.stop_run(worker, run, "an earlier run is done")
 
     def defer_acknowledgement(self, worker: WorkerState) -> None:
@@ -346,6 +331,9 @@
         self._proposed = None
         self._planner.request_pass()
         self._metrics.ready_steps.set(len(self._machine.table.ready))
+        self._metrics.congested_queues.set(
+            len(self._planner.congestion.queues)
+        )
         self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
         for position, (worker, run) in enumerate(self._planned_runs):
@@ -386,27 +374,17 @@
                 self._machine, workflow, command.ends, age_ms
             )
             self.stop_job(job_id, f"job {workflow.state}")
-        for end in command.ends:
-            task = table.task(end.task)
-            if (
-                task is None
-                or not task.step.spec.gang
-                or end.outcome == "done"
-            ):
-                continue
-            for worker in self.fleet.workers.values():
-                for run in list(worker.runs.values()):
-                    if run.step is task.step:
-                        self.stop_run(worker, run, "gang member ended")
+        for worker, run in obsolete_runs.runs_of_broken_gangs(
+            table, self.fleet, command.ends
+        ):
+            self.stop_run(worker, run, "gang member ended")
 
     def _check_tracked_runs(self, now: Instant) -> None:
         if now.boot_ms < self._check_due_boot_ms:
             return
         self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
         run_log.log_untracked_runs(
-            self._machine.table,
-            self.fleet.workers,
-            self._ends.run_keys,
+            self._machine.table, self.fleet.workers, self._ends.run_keys
         )
 
     def _acknowledge_listed_ends(self) -> None:
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -28,3 +28,6 @@
         self.ready_steps = metrics.gauge(
             "ready_steps", "Steps with tasks that wait for a worker."
         )
+        self.congested_queues = metrics.gauge(
+            "congested_queues", "Queues whose jobs start newest first."
+        )
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -6,6 +6,7 @@
 from sardinespool.clock import Instant
 from sardinespool.dispatch.best_effort import best_effort_demand
 from sardinespool.dispatch.best_effort import BestEffortScorer
+from sardinespool.dispatch.congestion_log import CongestionLog
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import RunStopper
 from sardinespool.dispatch.health import WorkerHealth
@@ -73,6 +74,8 @@
     ----------
     rebalancer : Rebalancer
         Moves throttled best-effort tasks.
+    congestion : CongestionLog
+        Congested queues.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self._waiting_since: dict[tuple[str, int, int], int] = {}
+        self.congestion = CongestionLog()
 
     def reset(self) -> None:
         """Clear the state of earlier passes."""
@@ -101,6 +105,7 @@
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self._waiting_since.clear()
+        self.congestion = CongestionLog()
 
     def request_pass(self) -> None:
         """Plan in the next pass, as resources or a step became available."""
@@ -119,6 +124,8 @@
             Run of each assignment, not committed yet.
         """
         ready = self._machine.table.ready
+        if not ready:
+            self.congestion.update((), self._machine.table.waiting_jobs, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
@@ -306,6 +313,9 @@
             for step in steps
         ]
         congested = congested_queues(queues, now.unix_ms)
+        self.congestion.update(
+            congested, self._machine.table.waiting_jobs, now
+        )
         entries: list[tuple[StepPriority, StepRecord, int]] = []
         for step, queue in queues:
             first_size = first_round_size(step)
