Keep the outcome of a call open after an attempt that may have run

Cause: a member whose lease lapsed before the reply went on to another attempt. If it was stopping and knew no leader, or the other attempt met a fault, the caller got 503, which says that nothing ran, for a job that may be stored.

Change: both report that the outcome is unknown (504) once an attempt may have taken effect, in the member and in the client of the group.

Result: the rows lapsed-stopping and after-lapse failed before; testing/transport and testing/controller/test_storage_failure.py pass (278).

--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -12,6 +12,7 @@
 from sardinespool.errors.storage import CorruptLogError
 from sardinespool.errors.storage import StorageError
 from sardinespool.errors.transport import NotReadyError
+from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
@@ -137,13 +138,16 @@
             except TimeoutError as error:
                 raise _unavailable_error(sent=True) from error
         if self._stopping.is_set() and not self.leader:
+            if sent:
+                raise _unavailable_error(sent)
             raise NotReadyError("The process is stopping.")
         if self.leader and self.leader != self._settings.address:
             self._client.assume_leader(self.leader)
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
         try:
             return await self._client.call(request, deadline_unix_ms)
-        except GroupUnavailableError as error:
+        except (GroupUnavailableError, ServiceFaultError) as error:
+            # Only the last attempt is known to have had no effect.
             if not sent:
                 raise
             raise _unavailable_error(sent) from error
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -13,6 +13,7 @@
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import NotReadyError
+from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.errors.transport import UnreachableError
 from sardinespool.messages import codec
 from sardinespool.messages.codec import Reply
@@ -125,6 +126,15 @@
                 self._select_next_member(
                     name, str(error.details.get("leader", ""))
                 )
+            except ServiceFaultError as error:
+                if not sent:
+                    raise
+                # Only this attempt is known to have had no effect.
+                raise GroupUnavailableError(
+                    "The group could not handle the request again.",
+                    group=self._group,
+                    sent=sent,
+                ) from error
             except RETRIED_ERRORS as error:
                 sent = sent or may_take_effect(error)
                 self._select_next_member(name, "")
--- a/testing/controller/test_storage_failure.py
+++ b/testing/controller/test_storage_failure.py
@@ -82,18 +82,23 @@
 
 
 @pytest.mark.parametrize(
-    ("error", "status"),
+    ("error", "stopping", "status"),
     [
         # Refused before it was proposed: it has not run.
-        (NotLeaderError("Not here."), 503),
-        (ProposalLostError("The lease lapsed before the reply."), 504),
+        (NotLeaderError("Not here."), False, 503),
+        (NotLeaderError("Not here."), True, 503),
+        (ProposalLostError("The lease lapsed before the reply."), False, 504),
+        (ProposalLostError("The lease lapsed before the reply."), True, 504),
         # No answer in time: it may still be committed.
-        (None, 504),
+        (None, False, 504),
     ],
-    ids=["refused", "lapsed", "no-answer"],
+    ids=["refused", "refused-stopping", "lapsed", "lapsed-stopping", "none"],
 )
 def test_call_that_may_have_run_is_not_said_to_be_refused(
-    tmp_path: pathlib.Path, error: SardinespoolError | None, status: int
+    tmp_path: pathlib.Path,
+    error: SardinespoolError | None,
+    stopping: bool,
+    status: int,
 ) -> None:
     """Guards against 503, which says that nothing ran, after a commit."""
 
@@ -111,6 +116,8 @@
             Metrics("controller", "a"),
         )
         controller._runner = LapsingRunner(error)  # type: ignore[assignment]
+        if stopping:
+            controller._stopping.set()
         try:
             await controller.call(make_manifest(1), 60)
         except SardinespoolError as raised:
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -13,11 +13,13 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import GroupUnavailableError
 from sardinespool.errors.replication import NotLeaderError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.tasks import JobNotFoundError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import FrameError
 from sardinespool.errors.transport import NotReadyError
 from sardinespool.errors.transport import ReplyTooLargeError
+from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.groups.refusal import refusal_from_error
 from sardinespool.messages import codec
 from sardinespool.messages.configuration import Configuration
@@ -187,6 +189,38 @@
     assert (follower.calls, leader.calls) == (1, 2)
 
 
+@pytest.mark.parametrize(
+    ("errors", "sent"),
+    [
+        ([ServiceFaultError("Fault.")], None),
+        ([NotReadyError("Stopping."), ServiceFaultError("Fault.")], None),
+        ([ProposalLostError("Lapsed."), ServiceFaultError("Fault.")], True),
+    ],
+    ids=["first", "after-refusal", "after-lapse"],
+)
+def test_fault_after_an_attempt_that_may_have_run_leaves_it_open(
+    errors: list[SardinespoolError], sent: bool | None
+) -> None:
+    """Guards against a caller that is told that a stored job never ran."""
+    members = [RecordingHandler([error]) for error in errors]
+
+    async def scenario(addresses: list[str]) -> SardinespoolError:
+        connector = Connector(cluster_settings(), "test", "a")
+        names = "ab"[: len(addresses)]
+        client = GroupClient(
+            "g", dict(zip(names, addresses, strict=True)), connector
+        )
+        deadline = system_clock.now().unix_ms + LONG_TIMEOUT_MS
+        with pytest.raises(SardinespoolError) as raised:
+            await client.call(ReadConfiguration(), deadline)
+        await connector.close()
+        assert raised.value.details.get("sent") == sent
+        assert isinstance(raised.value, ServiceFaultError) == (sent is None)
+        return raised.value
+
+    run_with_servers(members, scenario)
+
+
 def test_client_skips_an_unreachable_member() -> None:
     """Guards against a client that waits for an unreachable member."""
     leader = RecordingHandler([])
