Report calls that were never sent as not run

Cause: a call to another process that was queued while the connection was being opened got the same error as one that had been sent, when the connect failed or the caller's time was over. A front then answered 504, outcome unknown, for jobs that no process had seen; callers can't repeat these. The queued call itself stayed in the queue and was sent on a later connection, after its caller had an answer.

Change: the link knows which calls it has written. One that was not written fails as unreachable, which counts as not run, and is dropped from the queue.

--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -38,7 +38,9 @@
 
     Frames sent while disconnected are queued, up to `QUEUED_FRAMES_MAX`;
     beyond that, the oldest are dropped. The link connects on first use and
-    reconnects after a failure as soon as frames are queued.
+    reconnects after a failure as soon as frames are queued. A queued call
+    whose caller has got an error is never sent, so that the error tells
+    whether the call may take effect.
 
     Parameters
     ----------
@@ -62,6 +64,7 @@
             QUEUED_FRAMES_MAX
         )
         self._pending_replies: dict[int, asyncio.Future[bytes]] = {}
+        self._unsent_call_ids: set[int] = set()
         self._call_ids = itertools.count(1)
         self._backing_off = False
         self._last_received_boot_ms = 0
@@ -71,7 +74,7 @@
         """Send a frame, or queue it while disconnected."""
         if self._stream is not None:
             try:
-                self._stream.write(frame)
+                self._write(self._stream, frame)
                 return
             except ConnectionLostError:
                 self._stream = None
@@ -93,7 +96,7 @@
         Raises
         ------
         UnreachableError
-            The link waits before it reconnects; the call was not sent.
+            There is no connection; the call was not sent.
         ConnectionLostError
             The connection was closed before the reply arrived.
         CallTimeoutError
@@ -103,14 +106,13 @@
             # Fail at once, so that the caller tries another member. Waiting
             # for the reconnect would take most of the time until the first
             # commit after the loss of a member.
-            raise UnreachableError(
-                "The address can't be reached.", address=self._address
-            )
+            raise self._unreachable_error()
         call_id = next(self._call_ids)
         reply: asyncio.Future[bytes] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending_replies[call_id] = reply
+        self._unsent_call_ids.add(call_id)
         self.send(
             Frame(
                 kind=FrameKind.CALL,
@@ -124,12 +126,15 @@
             async with asyncio.timeout(timeout_ms / 1000):
                 return await reply
         except TimeoutError as error:
+            if call_id in self._unsent_call_ids:
+                raise self._unreachable_error() from error
             raise CallTimeoutError(
                 "No reply before the deadline.",
                 address=self._address,
             ) from error
         finally:
             self._pending_replies.pop(call_id, None)
+            self._unsent_call_ids.discard(call_id)
 
     async def close(self) -> None:
         """Close the connection and fail the calls in progress."""
@@ -173,9 +178,9 @@
     ) -> None:
         self._stream = stream
         stream.write(self._hello_frame)
-        stream.write(first_frame)
+        self._write(stream, first_frame)
         while not self._queued_frames.empty():
-            stream.write(self._queued_frames.get_nowait())
+            self._write(stream, self._queued_frames.get_nowait())
         self._last_received_boot_ms = system_clock.now().boot_ms
         keepalive_task = asyncio.create_task(self._send_keepalives(stream))
         try:
@@ -183,6 +188,15 @@
         finally:
             keepalive_task.cancel()
 
+    def _write(self, stream: FrameStream, frame: Frame) -> None:
+        """Write a frame, unless it is a call that no caller waits for."""
+        if frame.kind is FrameKind.CALL:
+            reply = self._pending_replies.get(frame.call_id)
+            if reply is None or reply.done():
+                return
+            self._unsent_call_ids.discard(frame.call_id)
+        stream.write(frame)
+
     async def _send_keepalives(self, stream: FrameStream) -> None:
         """Send keepalives; close the connection after `SILENCE_TIMEOUT_MS`."""
         while not stream.closed():
@@ -211,8 +225,12 @@
         if self._stream is not None:
             self._stream.close()
             self._stream = None
-        for reply in self._pending_replies.values():
-            if not reply.done():
+        for call_id, reply in self._pending_replies.items():
+            if reply.done():
+                continue
+            if call_id in self._unsent_call_ids:
+                reply.set_exception(self._unreachable_error())
+            else:
                 reply.set_exception(
                     ConnectionLostError(
                         "The connection ended before the reply.",
@@ -220,6 +238,11 @@
                     )
                 )
 
+    def _unreachable_error(self) -> UnreachableError:
+        return UnreachableError(
+            "The address can't be reached.", address=self._address
+        )
+
 
 def hello_frame(sender: str, token: str) -> Frame:
     """Return the frame that opens and authenticates a connection."""
