Share the exchange of orders and lease renewals with workers

Both opened the connection and checked the right to send in the same lines. No change of behaviour; testing/platform, testing/controller and the check of repeated commands pass.

--- a/src/sardinespool/platform/worker_client.py
+++ b/src/sardinespool/platform/worker_client.py
@@ -60,27 +60,16 @@
         may_send: Callable[[], bool],
     ) -> RenewLeaseResult:
         """Extend the lease of a worker and return its list of runs."""
-        connection = await self._connections.connect(
-            worker.worker_id, _RENEWAL_CONNECTION, worker.address
-        )
-        if isinstance(connection, ExchangeNotSent):
-            return NoAnswer(sent=False, reason=connection.reason)
-        if not may_send():
-            return Withheld()
+        connection = await self._connect(worker, _RENEWAL_CONNECTION, may_send)
+        if not isinstance(connection, HttpConnection):
+            return connection
         guard = self._guards.setdefault(connection, RenewalGuard())
         path, body = encode_renew_lease(
             guard.prepare(renewal, worker.incarnation)
         )
         answer = _decode_renewal(
             worker,
-            _response_of(
-                await connection.exchange(
-                    _request_of(worker, path, body),
-                    "",
-                    lambda: True,
-                    timeout_ms / 1000,
-                )
-            ),
+            await _exchange(connection, worker, path, body, timeout_ms),
         )
         guard.handle_answer(answer)
         return answer
@@ -94,22 +83,11 @@
         may_send: Callable[[], bool],
     ) -> OrderResult:
         """Send an order and return whether the worker carried it out."""
-        connection = await self._connections.connect(
-            worker.worker_id, connection_index, worker.address
-        )
-        if isinstance(connection, ExchangeNotSent):
-            return NoAnswer(sent=False, reason=connection.reason)
-        if not may_send():
-            return Withheld()
+        connection = await self._connect(worker, connection_index, may_send)
+        if not isinstance(connection, HttpConnection):
+            return connection
         path, body = encode_order(order)
-        response = _response_of(
-            await connection.exchange(
-                _request_of(worker, path, body),
-                "",
-                lambda: True,
-                timeout_ms / 1000,
-            )
-        )
+        response = await _exchange(connection, worker, path, body, timeout_ms)
         if not isinstance(response, HttpResponse):
             return response
         return order_result(response)
@@ -118,6 +96,37 @@
         """Close all connections to a worker."""
         self._connections.close_connections(worker_id)
 
+    async def _connect(
+        self,
+        worker: WorkerDescription,
+        connection_index: int,
+        may_send: Callable[[], bool],
+    ) -> HttpConnection | NoAnswer | Withheld:
+        """Return the connection to send on now, or why nothing is sent."""
+        connection = await self._connections.connect(
+            worker.worker_id, connection_index, worker.address
+        )
+        if isinstance(connection, ExchangeNotSent):
+            return NoAnswer(sent=False, reason=connection.reason)
+        return connection if may_send() else Withheld()
+
+
+async def _exchange(
+    connection: HttpConnection,
+    worker: WorkerDescription,
+    path: str,
+    body: bytes,
+    timeout_ms: int,
+) -> HttpResponse | NoAnswer:
+    return _response_of(
+        await connection.exchange(
+            _request_of(worker, path, body),
+            "",
+            lambda: True,
+            timeout_ms / 1000,
+        )
+    )
+
 
 def _request_of(
     worker: WorkerDescription, path: str, body: bytes
--- a/testing/groups/test_repeated_commands.py
+++ b/testing/groups/test_repeated_commands.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
@@ -21,7 +22,6 @@
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.worker_reports import DropWorker
 from sardinespool.messages.worker_reports import PutWorker
-from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import AcceptWorkflow
 from sardinespool.messages.workflows import Assignment
 from sardinespool.messages.workflows import EndWorkflow
@@ -35,6 +35,7 @@
 from sardinespool.workflows.records import TaskState
 from sardinespool.workflows.records import WorkflowRecord
 from sardinespool.workflows.table import WorkflowTable
+from testing.store.control_cluster import make_description
 
 JOBS = ("one", "two")
 SPECS = (
@@ -84,18 +85,8 @@
 def describe(worker_id: str, incarnation: int, draining: bool) -> PutWorker:
     """Return the registration of a worker's process."""
     return PutWorker(
-        description=WorkerDescription(
-            worker_id=worker_id,
-            incarnation=incarnation,
-            address="10.0.0.1:80",
-            pool="p",
-            failure_domain="centro",
-            host=worker_id,
-            labels=(),
-            processors_millicores=4_000,
-            memory_mb=8_000,
-            accelerators=0,
-            draining=draining,
+        description=msgspec.structs.replace(
+            make_description(worker_id, incarnation), draining=draining
         )
     )
 
