Tell callers in time that there is no leader

Cause: a front looked for a leader until the caller's time was over, and then answered 503 to a caller that no longer listened or could not come back in time. That holds for each request of an outage of some seconds, such as a core cut in two.

Change: while no attempt may have taken effect, the search ends after two fifths of the caller's time with 503 and Retry-After. An attempt that may have taken effect is still followed to the end, as a later one can clear its outcome.

The stub in test_timeout_of_a_call_ends_with_the_grace takes the new deadline; its old assert stays and one on the search is added.

--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -39,6 +39,10 @@
 LAST_RESPONSES_S = 0.25
 """Time to send the responses to calls that ended at the shutdown deadline."""
 
+LEADER_SEARCH_SHARE = 0.4
+"""Share of a caller's time in which a leader is looked for. After that, the
+caller is told to come back, while it still has time to."""
+
 _LOG = get_logger("front")
 
 
@@ -122,7 +126,12 @@
         """Call the group with a timeout that ends within the grace."""
         if self._shutdown_deadline_boot_ms is not None:
             timeout_ms = min(timeout_ms, self._shutdown_remaining_ms)
-        return await self._call(request, timeout_ms)
+        now_unix_ms = system_clock.now().unix_ms
+        return await self._client.call(
+            request,
+            now_unix_ms + timeout_ms,
+            now_unix_ms + int(LEADER_SEARCH_SHARE * timeout_ms),
+        )
 
     async def _call(self, request: Request, timeout_ms: int) -> Reply:
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -86,13 +86,29 @@
         self.add_members((name,))
         self._leader = name
 
-    async def call(self, request: Request, deadline_unix_ms: int) -> Reply:
+    async def call(
+        self,
+        request: Request,
+        deadline_unix_ms: int,
+        search_deadline_unix_ms: int | None = None,
+    ) -> Reply:
         """Return the reply of the group's leader.
 
+        Parameters
+        ----------
+        request : Request
+            Request, which the group handles once however often it is sent.
+        deadline_unix_ms : int
+            Time until which to wait for a reply.
+        search_deadline_unix_ms : int, optional
+            Time until which to look for a leader while no attempt may have
+            taken effect; by default the same. With an earlier one, the caller
+            learns in time that nothing ran.
+
         Raises
         ------
         GroupUnavailableError
-            No leader replied before the deadline. ``details['sent']`` tells
+            No leader replied before the deadlines. ``details['sent']`` tells
             whether an attempt without a reply may still take effect.
         SardinespoolError
             The group refused the request with this error.
@@ -104,9 +120,23 @@
         # clock can jump during the call.
         start = system_clock.now()
         deadline_boot_ms = start.boot_ms + deadline_unix_ms - start.unix_ms
+        search_deadline_boot_ms = deadline_boot_ms
+        if search_deadline_unix_ms is not None:
+            search_deadline_boot_ms -= (
+                deadline_unix_ms - search_deadline_unix_ms
+            )
         while True:
-            remaining_ms = deadline_boot_ms - system_clock.now().boot_ms
-            if remaining_ms <= 0 or not self._names:
+            now_boot_ms = system_clock.now().boot_ms
+            remaining_ms = deadline_boot_ms - now_boot_ms
+            if (
+                remaining_ms <= 0
+                or not self._names
+                or (
+                    failed_attempts
+                    and not sent
+                    and now_boot_ms >= search_deadline_boot_ms
+                )
+            ):
                 raise GroupUnavailableError(
                     "No leader of the group answered in time.",
                     group=self._group,
--- a/testing/platform/test_front_shutdown.py
+++ b/testing/platform/test_front_shutdown.py
@@ -151,8 +151,13 @@
     monkeypatch.setattr(system_clock, "now", lambda: now)
     timeouts_ms = []
 
-    async def record_call(request: Request, deadline_unix_ms: int) -> Reply:
+    searches_ms = []
+
+    async def record_call(
+        request: Request, deadline_unix_ms: int, search_deadline_unix_ms: int
+    ) -> Reply:
         timeouts_ms.append(deadline_unix_ms - now.unix_ms)
+        searches_ms.append(search_deadline_unix_ms - now.unix_ms)
         raise SardinespoolError("recorded")
 
     monkeypatch.setattr(process._client, "call", record_call)
@@ -163,3 +168,5 @@
             process.call_for_caller(ReadWorkflow(host="", path=""), timeout_ms)
         )
     assert timeouts_ms == [expected_ms]
+    # The caller hears that there is no leader in the first half of its time.
+    assert 0 <= searches_ms[0] <= expected_ms / 2
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -221,6 +221,49 @@
     run_with_servers(members, scenario)
 
 
+def test_client_gives_up_the_search_for_a_leader_early() -> None:
+    """Guards against callers that wait in vain until their time is over."""
+    refusals = [NotLeaderError("No.") for _ in range(1_000)]
+    follower = RecordingHandler(refusals)
+
+    async def scenario(addresses: list[str]) -> None:
+        connector = Connector(cluster_settings(), "test", "a")
+        client = GroupClient("g", {"a": addresses[0]}, connector)
+        now_unix_ms = system_clock.now().unix_ms
+        deadline = now_unix_ms + 10 * LONG_TIMEOUT_MS
+        with pytest.raises(GroupUnavailableError) as raised:
+            await client.call(ReadConfiguration(), deadline, now_unix_ms + 150)
+        await connector.close()
+        assert system_clock.now().unix_ms < deadline
+        assert raised.value.details["sent"] is False
+
+    run_with_servers([follower], scenario)
+    assert follower.calls >= 1
+
+
+def test_client_goes_on_after_an_attempt_that_may_have_run() -> None:
+    """Guards against an unknown outcome that a later attempt would clear."""
+    former = RecordingHandler([ProposalLostError("Lapsed.")])
+    leader = RecordingHandler([])
+
+    async def scenario(addresses: list[str]) -> None:
+        connector = Connector(cluster_settings(), "test", "a")
+        client = GroupClient(
+            "g", dict(zip("ab", addresses, strict=True)), connector
+        )
+        now_unix_ms = system_clock.now().unix_ms
+        reply = await client.call(
+            ReadConfiguration(),
+            now_unix_ms + LONG_TIMEOUT_MS,
+            now_unix_ms + 1,
+        )
+        assert reply == Configuration()
+        await connector.close()
+
+    run_with_servers([former, leader], scenario)
+    assert (former.calls, leader.calls) == (1, 1)
+
+
 def test_client_skips_an_unreachable_member() -> None:
     """Guards against a client that waits for an unreachable member."""
     leader = RecordingHandler([])
