Say when a service is started again in its term

Cause: GroupService.become_leader was documented as called once per term, which an unexpected error in the service has changed.

Change: the doc comment names that case. No code is changed.

Result: formatter, linter and type checker pass.

--- a/src/sardinespool/groups/interfaces.py
+++ b/src/sardinespool/groups/interfaces.py
@@ -48,7 +48,9 @@
         """Start serving; called once per term that this member leads.
 
         The machine has applied every command of earlier terms and none of
-        this term.
+        this term. After an unexpected error the service is stepped down and
+        started again in the same term; commands of this term may then be
+        applied, or still on their way.
         """
 
     def step_down(self) -> None:
