--- a/testing/proof/mutations.py
+++ b/testing/proof/mutations.py
@@ -137,6 +137,7 @@
             "threes/start-delivered/long-job-and-freeze",
             "threes/permit-given/long-job-and-freeze",
             "threes/configuration-adopted/long-job-and-freeze",
+            "threes/task-running/one-way-cut",
         ),
     ),
     Mutation(
