--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -386,6 +386,9 @@
         run_log.log_untracked_runs(
             self._machine.table, self.fleet.workers, self._ends.run_keys
         )
+        self._metrics.silent_runs.set(
+            run_log.log_silent_workers(self.fleet.workers.values(), now)
+        )
 
     def _acknowledge_listed_ends(self) -> None:
         for worker in self._ends.acknowledge():
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -31,3 +31,6 @@
         self.congested_queues = metrics.gauge(
             "congested_queues", "Queues whose jobs start newest first."
         )
+        self.silent_runs = metrics.gauge(
+            "silent_runs", "Runs on workers that do not answer."
+        )
--- a/src/sardinespool/dispatch/run_log.py
+++ b/src/sardinespool/dispatch/run_log.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from sardinespool.clock import Instant
@@ -215,6 +216,49 @@
         )
 
 
+def log_silent_workers(workers: Iterable[WorkerState], now: Instant) -> int:
+    """Log the workers that don't answer while runs are assigned to them.
+
+    The runs end once the lease of their worker has certainly ended.
+
+    Parameters
+    ----------
+    workers : iterable of WorkerState
+        Workers known to this leader.
+    now : Instant
+        Current time.
+
+    Returns
+    -------
+    int
+        Number of runs on workers that don't answer.
+    """
+    silent = [
+        worker for worker in workers if worker.runs and not worker.answered
+    ]
+    count = sum(len(worker.runs) for worker in silent)
+    if silent:
+        longest = min(silent, key=lambda worker: worker.last_answer_boot_ms)
+        _LOG.warning(
+            "runs on silent workers",
+            workers=len(silent),
+            runs=count,
+            worker=longest.worker_id,
+            task=next(iter(longest.runs.values())).task_key,
+            answer_age_ms=(
+                now.boot_ms - longest.last_answer_boot_ms
+                if longest.last_answer_boot_ms >= 0
+                else None
+            ),
+            lease_left_ms=(
+                longest.lease_end_ms - longest.clock.lower_bound(now.boot_ms)
+                if longest.lease_end_ms
+                else None
+            ),
+        )
+    return count
+
+
 def _find_decisive_end(
     table: WorkflowTable,
     workflow: WorkflowRecord,
--- a/testing/dispatch/test_run_log.py
+++ b/testing/dispatch/test_run_log.py
@@ -30,6 +30,7 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.observability.metrics import Metrics
+from testing.dispatch.support import add_running
 from testing.dispatch.support import make_worker
 from testing.dispatch.support import QUEUE
 
@@ -386,3 +387,29 @@
         assert lines == []
     else:
         assert lines == [{"task": FIRST, "run": 1, "worker": "w", **expected}]
+
+
+@pytest.mark.parametrize(
+    ("answered", "last_answer_boot_ms", "expected"),
+    [
+        pytest.param(True, NOW.boot_ms - 100, [], id="answers"),
+        pytest.param(False, NOW.boot_ms - 9_000, [9_000], id="silent"),
+        pytest.param(False, -1, [None], id="never-answered"),
+    ],
+)
+def test_runs_on_silent_workers_are_logged(
+    events: Events,
+    answered: bool,
+    last_answer_boot_ms: int,
+    expected: list[int | None],
+) -> None:
+    """Guards against tasks that wait for a lost worker without a trace."""
+    worker = make_worker("w", 4_000)
+    add_running(worker, StepSpec(count=1), "j")
+    worker.answered = answered
+    worker.last_answer_boot_ms = last_answer_boot_ms
+    idle = make_worker("idle", 4_000)
+    count = run_log.log_silent_workers([worker, idle], NOW)
+    lines = fields_of(events, "runs on silent workers")
+    assert [line["answer_age_ms"] for line in lines] == expected
+    assert count == len(expected)
