--- /dev/null
+++ b/testing/dispatch/test_lost_workers.py
@@ -0,0 +1,70 @@
+"""Workers that stop answering for good, under one leader."""
+
+import pytest
+
+from sardinespool.messages.workflows import StepSpec
+from testing.dispatch.fake_worker import FakeWorker
+from testing.dispatch.simulation import Simulation
+
+RESTART_MAX_MS = 6_000
+"""Time after its last run from which users count a long-running task."""
+LONG_RUNNING = StepSpec(
+    count=6, processors_millicores=1_000, memory_mb=100, long_running=True
+)
+BEST_EFFORT = StepSpec(
+    count=6,
+    processors_millicores=1_000,
+    memory_mb=100,
+    uses_leftover_processors=True,
+    checkpointing=True,
+    image="batch",
+)
+RUN_TIME_MS = 60_000
+
+
+def lose(worker: FakeWorker, how: str) -> None:
+    """Make a worker stop answering for good."""
+    if how == "crash":
+        worker.crash()
+    else:
+        worker.reachable = False
+
+
+def tasks_elsewhere(simulation: Simulation, lost: str) -> set[str]:
+    """Return the tasks that other workers than the lost one run."""
+    return {
+        task
+        for worker_id, worker in simulation.workers.items()
+        if worker_id != lost
+        for task in worker.running
+    }
+
+
+@pytest.mark.parametrize("how", ["crash", "cut"])
+@pytest.mark.parametrize(
+    "running_ms",
+    [
+        pytest.param(3_000, id="running"),
+        pytest.param(30, id="start-unanswered"),
+    ],
+)
+@pytest.mark.parametrize("step", [LONG_RUNNING, BEST_EFFORT])
+def test_tasks_of_a_worker_lost_for_good_start_elsewhere(
+    step: StepSpec, running_ms: int, how: str
+) -> None:
+    """Guards against renewals that extend the lease of a lost worker."""
+    simulation = Simulation(1, workers=4)
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: RUN_TIME_MS
+    simulation.run(1_500)
+    simulation.submit("job", step)
+    expected = {f"job.0.0.{index}" for index in range(step.count)}
+    while not simulation.machine.table.assigned:
+        simulation.run(5)
+    lost = next(iter(simulation.machine.table.assigned))
+    simulation.run(running_ms)
+    lose(simulation.workers[lost], how)
+    simulation.run(RESTART_MAX_MS)
+    assert tasks_elsewhere(simulation, lost) == expected
+    assert simulation.oracle.violations == []
