Let the lease of a worker that does not answer end

Cause: the leader ends the runs of a silent worker once the latest lease end that it ever sent has certainly passed. It kept sending renewals, each with a later lease end, and resent unanswered starts, which extend the lease as well. So the time to wait for moved on with each attempt, and the runs ended only under the next leader, which waits for the longest lease of its predecessor.

Now a worker that doesn't answer is asked for its lists without extending the lease and without a wait; the first answer resumes the extension. Starts are not sent to it until then; stops are, as they extend nothing.

--- a/src/sardinespool/dispatch/order_queue.py
+++ b/src/sardinespool/dispatch/order_queue.py
@@ -73,7 +73,12 @@
             fencing_token=self.fencing_token,
             acknowledged_end=worker.acknowledged_end,
             wait_ms=self._poll_wait_ms(worker),
-            lease_end_ms=self._next_lease_end_ms(worker, now),
+            # Unanswered renewals would postpone the end of the lease forever.
+            lease_end_ms=(
+                self._next_lease_end_ms(worker, now)
+                if worker.answered
+                else None
+            ),
         )
 
     def next_order(
@@ -89,6 +94,8 @@
                 continue
             if run.in_flight or now.boot_ms < run.retry_boot_ms:
                 continue
+            if _awaits_answer(worker, run):
+                continue
             order = self._build_order(worker, run, now)
             if order is None:
                 continue
@@ -109,7 +116,9 @@
         delays_ms = [
             run.retry_boot_ms - now.boot_ms
             for run in worker.pending.values()
-            if run.needs_order and not run.in_flight
+            if run.needs_order
+            and not run.in_flight
+            and not _awaits_answer(worker, run)
         ]
         return max(1, min(delays_ms)) if delays_ms else None
 
@@ -126,7 +135,7 @@
         return worker
 
     def _poll_wait_ms(self, worker: WorkerState) -> int:
-        if not worker.reconciled:
+        if not worker.reconciled or not worker.answered:
             return 0
         if worker.serving_images and worker.best_effort_millicores:
             return self._settings.watch_wait_ms
@@ -161,3 +170,16 @@
             fencing_token=self.fencing_token,
             checkpoint=run.task.checkpoint,
         )
+
+
+def _awaits_answer(worker: WorkerState, run: RunState) -> bool:
+    """Return whether the next order is a start that a worker can't get now.
+
+    A start extends the lease of all runs on the worker. While the worker does
+    not answer, their lease must run out.
+    """
+    return (
+        not worker.answered
+        and not run.stop_requested
+        and run.phase is RunPhase.ORDERED
+    )
--- a/src/sardinespool/dispatch/orders.py
+++ b/src/sardinespool/dispatch/orders.py
@@ -48,8 +48,9 @@
 class RenewLease:
     """Long poll: extend the lease, acknowledge ended runs, list all runs.
 
-    `lease_end_ms` is None while the worker's clock is unknown. The worker
-    deletes ends numbered up to `acknowledged_end`.
+    `lease_end_ms` is None while the worker's clock is unknown or the worker
+    does not answer; the lease is not extended then. The worker deletes ends
+    numbered up to `acknowledged_end`.
     """
 
     fencing_token: int
--- a/testing/dispatch/test_faults.py
+++ b/testing/dispatch/test_faults.py
@@ -256,7 +256,9 @@
     assert simulation.oracle.starts == 0
 
 
-@pytest.mark.parametrize("cause", ["fenced", "unreconciled", "clock"])
+@pytest.mark.parametrize(
+    "cause", ["fenced", "unreconciled", "clock", "silent"]
+)
 def test_orders_that_may_not_be_sent_have_no_due_time(cause: str) -> None:
     """Guards against senders that wake each millisecond for nothing."""
     simulation = Simulation(6)
@@ -272,6 +274,8 @@
             orders.fenced = True
         case "unreconciled":
             state.reconciled = False
+        case "silent":
+            state.answered = False
         case _:
             state.clock = WorkerClock(0.98)
     assert orders.next_order("w0", simulation.now()) is None
--- a/testing/dispatch/test_lost_workers.py
+++ b/testing/dispatch/test_lost_workers.py
@@ -1,5 +1,7 @@
 """Workers that stop answering for good, under one leader."""
 
+import random
+
 import pytest
 
 from sardinespool.messages.workflows import StepSpec
@@ -68,3 +70,56 @@
     simulation.run(RESTART_MAX_MS)
     assert tasks_elsewhere(simulation, lost) == expected
     assert simulation.oracle.violations == []
+
+
+@pytest.mark.parametrize("cuts", [1, 4])
+@pytest.mark.parametrize("cut_ms", [300, 1_000, 2_000])
+def test_tasks_outlive_a_short_silence(cut_ms: int, cuts: int) -> None:
+    """Guards against tasks given up as their worker was silent for a while."""
+    simulation = Simulation(1, workers=4)
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: RUN_TIME_MS
+    simulation.run(1_500)
+    simulation.submit("job", LONG_RUNNING)
+    simulation.run(2_000)
+    starts = simulation.oracle.starts
+    for _ in range(cuts):
+        for worker in simulation.workers.values():
+            worker.reachable = False
+        simulation.run(cut_ms)
+        for worker in simulation.workers.values():
+            worker.reachable = True
+        simulation.run(1_000)
+    simulation.run(RESTART_MAX_MS)
+    running = [
+        task
+        for worker in simulation.workers.values()
+        for task in worker.running
+    ]
+    assert len(running) == LONG_RUNNING.count
+    assert simulation.oracle.starts == starts
+    assert simulation.oracle.violations == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_jobs_complete_although_workers_are_lost_for_good(seed: int) -> None:
+    """Guards against work that waits for a lost worker, with lost messages."""
+    rng = random.Random(seed)
+    simulation = Simulation(seed, workers=6)
+    simulation.faults.unanswered = 0.05
+    simulation.faults.late = 0.5
+    simulation.run(1_500)
+    names = [f"job{number}" for number in range(8)]
+    for number, name in enumerate(names):
+        simulation.submit(
+            name,
+            StepSpec(count=6, processors_millicores=1_000, memory_mb=100),
+        )
+        simulation.run(rng.randint(50, 600))
+        if number in (2, 5):
+            lost = simulation.workers[f"w{number}"]
+            lose(lost, rng.choice(["crash", "cut"]))
+    simulation.run(30_000)
+    assert {simulation.read_state(name) for name in names} == {"completed"}
+    assert simulation.oracle.violations == []
