Refuse input that is nested too deeply

What callers saw: a heartbeat, leave, manifest or job with a field nested 1,000 levels or more got no answer at all; its connection stayed open. A worker's answer of that kind left the order in flight.

Cause: the JSON and MessagePack decoders raise RecursionError for such input, also in fields that they skip. The readers caught the errors of the decoder that they knew, each its own set.

Change: messages/decoding.py decodes for all readers of bodies, answers and messages of members, and raises InvalidMessageError for all that a decoder can raise. Frames are not affected: their decoder limits the depth itself.

--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -21,6 +21,7 @@
 from sardinespool.messages.configuration import RejectPatch
 from sardinespool.messages.configuration import SubmitPatch
 from sardinespool.messages.configuration import VersionList
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
 from sardinespool.messages.jobs import CancelJob
@@ -170,26 +171,17 @@
 
 def decode_request(data: bytes) -> Request:
     """Decode a request; raise `InvalidMessageError` if it is malformed."""
-    try:
-        return _REQUEST_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise InvalidMessageError(str(error)) from error
+    return decode(_REQUEST_DECODER, data)
 
 
 def decode_reply(data: bytes) -> Reply:
     """Decode a reply; raise `InvalidMessageError` if it is malformed."""
-    try:
-        return _REPLY_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise InvalidMessageError(str(error)) from error
+    return decode(_REPLY_DECODER, data)
 
 
 def decode_command(data: bytes) -> Command:
     """Decode a command; raise `InvalidMessageError` if it is malformed."""
-    try:
-        return _COMMAND_DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise InvalidMessageError(str(error)) from error
+    return decode(_COMMAND_DECODER, data)
 
 
 def encode_state(state: msgspec.Struct) -> bytes:
--- a/src/sardinespool/observability/history.py
+++ b/src/sardinespool/observability/history.py
@@ -147,7 +147,7 @@
 def _parse_entry(raw_line: str) -> dict[str, Any] | None:
     try:
         entry = msgspec.json.decode(raw_line)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     if not isinstance(entry, dict) or not isinstance(entry.get("event"), str):
         return None
--- a/src/sardinespool/observability/state_dump.py
+++ b/src/sardinespool/observability/state_dump.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.dump import StateDump
 
 REDACTED = "(redacted)"
@@ -106,6 +108,7 @@
 
 def _convert_json(data: bytes, depth: int) -> Any:
     try:
-        return _convert(msgspec.json.decode(data), depth + 1)
-    except msgspec.MsgspecError:
+        value = decode(msgspec.json.Decoder(), data)
+    except InvalidMessageError:
         return _convert_bytes(data)
+    return _convert(value, depth + 1)
--- a/src/sardinespool/platform/job_codec.py
+++ b/src/sardinespool/platform/job_codec.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.platform.integers import Count
@@ -55,8 +57,8 @@
         The body is not a valid job.
     """
     try:
-        job = _DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+        job = decode(_DECODER, body)
+    except InvalidMessageError as error:
         raise InvalidJobError(f"The body is not a job: {error}") from error
     return WorkflowSpec(
         payload=job.task_spec,
--- a/src/sardinespool/platform/manifest_codec.py
+++ b/src/sardinespool/platform/manifest_codec.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from sardinespool.errors.configuration import InvalidManifestError
+from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.manifest import PoolSpec
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
@@ -47,8 +49,8 @@
         The body is not a valid manifest, or a timeout is not above 0.
     """
     try:
-        manifest = _DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+        manifest = decode(_DECODER, body)
+    except InvalidMessageError as error:
         raise InvalidManifestError(
             f"The manifest can't be read: {error}"
         ) from error
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -14,6 +14,7 @@
 from sardinespool.dispatch.orders import StartRun
 from sardinespool.dispatch.orders import StopRun
 from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.worker_reports import WorkerLeaves
@@ -101,9 +102,9 @@
         program sent it.
     """
     try:
-        heartbeat = _HEARTBEAT_DECODER.decode(body)
+        heartbeat = decode(_HEARTBEAT_DECODER, body)
         split_address(heartbeat.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (InvalidMessageError, ValueError) as error:
         raise InvalidMessageError(
             f"The heartbeat can't be used: {error}", worker=worker_id
         ) from error
@@ -136,8 +137,8 @@
         The body is not valid, for instance because another program sent it.
     """
     try:
-        leave = _LEAVE_DECODER.decode(body) if body.strip() else _Leave()
-    except (msgspec.MsgspecError, ValueError) as error:
+        leave = decode(_LEAVE_DECODER, body) if body.strip() else _Leave()
+    except InvalidMessageError as error:
         raise InvalidMessageError(
             f"The leave can't be used: {error}", worker=worker_id
         ) from error
@@ -198,7 +199,7 @@
         The body is not a valid lease renewal response.
     """
     try:
-        response = _RENEW_LEASE_DECODER.decode(body)
+        response = decode(_RENEW_LEASE_DECODER, body)
         running = tuple(_decode_running_row(row) for row in response.running)
         ended = tuple(
             EndedRun(
@@ -210,7 +211,12 @@
             )
             for number, task, run, end_reason, checkpoint in response.ended
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, IndexError) as error:
+    except (
+        InvalidMessageError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise InvalidMessageError(
             f"The lists of a worker can't be read: {error!r}"
         ) from error
@@ -220,8 +226,8 @@
 def decode_order_response(body: bytes) -> tuple[int | None, Refusal | None]:
     """Return the worker's clock and the refusal, each None if absent."""
     try:
-        response = _ORDER_DECODER.decode(body)
-    except msgspec.MsgspecError:
+        response = decode(_ORDER_DECODER, body)
+    except InvalidMessageError:
         return None, None
     return response.clock_ms, _REFUSAL_BY_REASON.get(response.reason)
 
--- a/src/sardinespool/programs/command_line/client.py
+++ b/src/sardinespool/programs/command_line/client.py
@@ -10,6 +10,7 @@
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.errors.transport import TransportError
+from sardinespool.messages.decoding import decode
 from sardinespool.settings.model import OperatorSettings
 
 CONNECT_TIMEOUT_S = 2.0
@@ -98,8 +99,8 @@
         if response.code != 200:
             raise _error_from_response(entry, response.code, response.body)
         try:
-            return msgspec.json.decode(response.body)
-        except msgspec.MsgspecError as error:
+            return decode(msgspec.json.Decoder(), response.body)
+        except InvalidMessageError as error:
             raise InvalidMessageError(
                 f"{entry} did not return valid JSON", entry=entry
             ) from error
@@ -115,8 +116,8 @@
     entry: str, status: int, body: bytes
 ) -> SardinespoolError:
     try:
-        refusal = msgspec.json.decode(body, type=_ErrorBody)
-    except msgspec.MsgspecError:
+        refusal = decode(msgspec.json.Decoder(_ErrorBody), body)
+    except InvalidMessageError:
         return InvalidMessageError(
             f"{entry} returned status {status} without an error code",
             entry=entry,
--- a/src/sardinespool/programs/entry/operator_bodies.py
+++ b/src/sardinespool/programs/entry/operator_bodies.py
@@ -8,6 +8,7 @@
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.base import Record
 from sardinespool.messages.configuration import Change
+from sardinespool.messages.decoding import decode
 from sardinespool.transport.http_messages import HttpRequest
 
 T = TypeVar("T")
@@ -29,10 +30,7 @@
 
 def read_body(request: HttpRequest, body_type: type[T]) -> T:
     """Decode a JSON body; raise `InvalidMessageError` if malformed."""
-    try:
-        return msgspec.json.decode(request.body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise InvalidMessageError(str(error)) from error
+    return decode(msgspec.json.Decoder(body_type), request.body)
 
 
 def read_query(request: HttpRequest) -> dict[str, str]:
--- a/src/sardinespool/programs/entry/worker_handler.py
+++ b/src/sardinespool/programs/entry/worker_handler.py
@@ -7,6 +7,7 @@
 from sardinespool.clock import Instant
 from sardinespool.errors.tasks import FailureDomainMismatchError
 from sardinespool.errors.transport import InvalidMessageError
+from sardinespool.messages.decoding import decode
 from sardinespool.messages.tasks import Heartbeat
 from sardinespool.messages.tasks import HeartbeatReply
 from sardinespool.programs.entry.credentials import Credentials
@@ -50,10 +51,7 @@
     async def heartbeat(self, request: HttpRequest) -> HttpResponse:
         """Forward a heartbeat to the domain group; return its reply."""
         self._credentials.require(request, "worker")
-        try:
-            heartbeat = self._decoder.decode(request.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise InvalidMessageError(str(error)) from error
+        heartbeat = decode(self._decoder, request.body)
         if heartbeat.sent_unix_ms <= 0:
             # The group uses this time to decide whether a task that the
             # heartbeat does not list is absent.
--- a/src/sardinespool/replication/messages.py
+++ b/src/sardinespool/replication/messages.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.messages.base import Message
+from sardinespool.messages.decoding import decode
 from sardinespool.replication.configuration import Configuration
 from sardinespool.replication.entries import Entry
 
@@ -176,7 +176,4 @@
 
 def decode_peer_message(data: bytes) -> PeerMessage:
     """Decode a message; raise `InvalidMessageError` if it is malformed."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise InvalidMessageError(str(error)) from error
+    return decode(_DECODER, data)
