Send a call again whose reply can't be read

What callers saw: 400 for a job that the leader had stored, if its reply was malformed. A front whose probe got a reply that is nested deeply ended; the next start met the same reply.

Cause: an unreadable reply was taken for a refusal by the leader (InvalidMessageError), and RecursionError ended the probe task and with it the process.

Change: an unreadable reply counts as a lost one. The call is sent again, and without any readable reply its outcome is unknown (504).

--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -12,6 +12,7 @@
 from sardinespool.errors.replication import ReplicationError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
+from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.errors.transport import NotReadyError
 from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.errors.transport import UnreachableError
@@ -195,7 +196,11 @@
 
 
 def _decode_reply(encoded_reply: bytes) -> Reply:
-    reply = codec.decode_reply(encoded_reply)
+    try:
+        reply = codec.decode_reply(encoded_reply)
+    except InvalidMessageError as invalid:
+        # The request was handled, so it must not look refused.
+        raise ConnectionLostError("The reply can't be read.") from invalid
     if isinstance(reply, Refused):
         error: SardinespoolError = error_from_code(
             reply.code, reply.text, reply.details
--- a/testing/platform/front_subprocess.py
+++ b/testing/platform/front_subprocess.py
@@ -30,17 +30,26 @@
     7700,
 )
 POLL_INTERVAL_S = 0.01
+ODD_REPLY = b"\x82\xa4type\xa8Accepted\xa1x" + b"\x91" * 100_000 + b"\x00"
+"""Reply with an unknown field that is nested deeply."""
 
 Answer = Callable[[Request], Awaitable[Reply]]
 
 
 class Leader:
-    """Stand-in for the leader of the control group."""
+    """Stand-in for the leader of the control group.
+
+    Attributes
+    ----------
+    odd_replies : int
+        Number of next calls that get a malformed reply.
+    """
 
     def __init__(self, address: str, answer: Answer) -> None:
         self._address = address
         self._answer = answer
         self.received: list[Request] = []
+        self.odd_replies = 0
         self.deadlines_unix_ms: list[int] = []
         self.arrived = asyncio.Event()
 
@@ -48,6 +57,9 @@
         self, group: str, body: bytes, deadline_unix_ms: int
     ) -> bytes:
         request = codec.decode_request(body)
+        if self.odd_replies:
+            self.odd_replies -= 1
+            return ODD_REPLY
         if isinstance(request, ReadMembers):
             members = MemberList(members=(self._address,), manifest_version=1)
             return codec.encode(members)
