Answer requests whose handling raises an unexpected error

What callers saw: no answer, on a connection that stayed open, if the code that handles a request of a caller, a worker, an operator or another member raised. After such a replication message the connection between two members was no longer read, until a keepalive timed out.

Cause: only errors of the project's own classes were turned into answers.

Change: FaultBarrier answers for the HTTP listeners of the platform, and GroupEndpoint for calls of members: one log line, and an error that says that the outcome is unknown. FrameServer closes a connection that it no longer reads. The front's probe of the leader logs such an error and goes on. A call that can't be decoded is logged.

--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -8,6 +8,7 @@
 from sardinespool.observability.metrics import Metrics
 from sardinespool.observability.status_server import StatusServer
 from sardinespool.platform.control_handler import ControlHandler
+from sardinespool.platform.fault_barrier import FaultBarrier
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.platform.worker_client import WorkerClient
 from sardinespool.programs.controller.control_member import ControlGroupMember
@@ -67,7 +68,10 @@
         """Serve until `stopping` is set, then shut down gracefully."""
         control_server = HttpListener(
             self._settings.listen.control,
-            ControlHandler(self._controller.call, self._heartbeat_address),
+            FaultBarrier(
+                ControlHandler(self._controller.call, self._heartbeat_address),
+                _LOG,
+            ),
             ServerLimits(BODY_LIMIT_BYTES),
         )
         status_server = StatusServer(
--- /dev/null
+++ b/src/sardinespool/platform/fault_barrier.py
@@ -0,0 +1,46 @@
+"""Confines an unexpected error to the HTTP request that raised it."""
+
+import traceback
+
+from sardinespool.errors.replication import ProposalLostError
+from sardinespool.observability.logs import PrefixLogger
+from sardinespool.platform.responses import error_response
+from sardinespool.transport.http_messages import HttpResponse
+from sardinespool.transport.http_server import Handler
+from sardinespool.transport.http_server import ReceivedRequest
+
+TRACEBACK_FRAMES_MAX = 3
+"""Number of innermost frames of a logged traceback."""
+
+
+class FaultBarrier:
+    """Handler that answers a request also if another handler raises.
+
+    Without an answer, the client would wait for its whole timeout.
+
+    Parameters
+    ----------
+    handler : Handler
+        Handles the requests.
+    log : PrefixLogger
+        Logger of the process.
+    """
+
+    def __init__(self, handler: Handler, log: PrefixLogger) -> None:
+        self._handler = handler
+        self._log = log
+
+    async def __call__(self, received: ReceivedRequest) -> HttpResponse:
+        """Handle one request."""
+        try:
+            return await self._handler(received)
+        except Exception:
+            self._log.error(
+                "unexpected error",
+                method=received.request.method,
+                path=received.request.target,
+                fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+            )
+            return error_response(
+                ProposalLostError("An unexpected error ended the request.")
+            )
--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -1,6 +1,7 @@
 """Process that runs on a front machine."""
 
 import asyncio
+import traceback
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.messages.codec import Reply
@@ -12,6 +13,8 @@
 from sardinespool.observability.status_server import StatusServer
 from sardinespool.platform.caller_handler import CallerHandler
 from sardinespool.platform.caller_handler import CallerMetrics
+from sardinespool.platform.fault_barrier import FaultBarrier
+from sardinespool.platform.fault_barrier import TRACEBACK_FRAMES_MAX
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.programs.controller.control_member import (
@@ -75,7 +78,12 @@
         limits = ServerLimits(BODY_LIMIT_BYTES)
         callers = HttpListener(
             self._settings.listen.callers,
-            CallerHandler(self.call_for_caller, CallerMetrics(self._metrics)),
+            FaultBarrier(
+                CallerHandler(
+                    self.call_for_caller, CallerMetrics(self._metrics)
+                ),
+                _LOG,
+            ),
             limits,
         )
         status = StatusServer(
@@ -148,6 +156,14 @@
                     _LOG.warning("no leader", code=error.code, text=error.text)
                 last_error_code = error.code
                 has_manifest = False
+            except Exception:
+                # The process must go on: it still has calls to answer.
+                _LOG.error(
+                    "unexpected error",
+                    during="probe",
+                    fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+                )
+                has_manifest = False
             else:
                 last_error_code = ""
                 self._last_reply_boot_ms = system_clock.now().boot_ms
--- a/src/sardinespool/programs/store/group_endpoint.py
+++ b/src/sardinespool/programs/store/group_endpoint.py
@@ -4,16 +4,21 @@
 from collections.abc import Mapping
 
 from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.errors.transport import NotReadyError
 from sardinespool.groups.refusal import refusal_from_error
 from sardinespool.messages import codec
 from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.fault_barrier import log_fault
 from sardinespool.programs.store.group_runner import GroupRunner
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication import messages as peer_messages
 from sardinespool.transport import system_clock
 
+UNKNOWN_REQUEST = "unknown"
+"""Type of a request that can't be decoded."""
+
 _LOG = get_logger("store")
 
 
@@ -44,7 +49,7 @@
         self, group: str, body: bytes, deadline_unix_ms: int
     ) -> bytes:
         """Handle a call and return the encoded reply or refusal."""
-        request_type = "unknown"
+        request_type = UNKNOWN_REQUEST
         started = system_clock.now()
         code = "ok"
         try:
@@ -54,6 +59,15 @@
         except SardinespoolError as error:
             code = error.code
             reply = refusal_from_error(error)
+            if request_type == UNKNOWN_REQUEST:
+                _LOG.warning(
+                    "refused an invalid call", group=group, text=error.text
+                )
+        except Exception:
+            log_fault(group, "call", request_type)
+            fault = ProposalLostError("An unexpected error ended the call.")
+            code = fault.code
+            reply = refusal_from_error(fault)
         elapsed_ms = system_clock.now().boot_ms - started.boot_ms
         self._metrics.calls.inc(request=request_type, code=code)
         self._metrics.call_latency_ms.observe(elapsed_ms, request=request_type)
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -91,9 +91,10 @@
             await self._authenticate(frame_stream)
             await self._serve_frames(frame_stream)
         except (SardinespoolError, TimeoutError, ssl.SSLError, OSError):
+            return
+        finally:
             # The peer detects the closed connection and reconnects.
             frame_stream.close()
-        finally:
             self._frame_streams.discard(frame_stream)
 
     async def _authenticate(self, frame_stream: FrameStream) -> None:
