Deliver a result for each call of a worker

What callers saw: a task that neither ran nor was placed elsewhere, to the end of its job.

Cause: an exception in a call of a worker (an answer nested deeply was one, an address that can't be connected to another) was logged by the task that sends orders, but the dispatcher got no result. The order stayed in flight, so it was never sent again. A worker whose renewals raised kept counting as one that answers, so the end of its leases was not noticed.

Change: the sender turns an exception into NoAnswer(sent=True), as the call may have been carried out. The dispatcher then sends the order again, or ends the runs with their lease.

--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -5,9 +5,12 @@
 import traceback
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import TypeVar
 
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.orders import LeaseRenewed
+from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.observability.logs import get_logger
 from sardinespool.programs.controller.worker_caller import WorkerCaller
@@ -23,6 +26,8 @@
 
 _LOG = get_logger("controller")
 
+Answer = TypeVar("Answer")
+
 
 class WorkerSender:
     """Sends the lease renewals and orders of one worker in background tasks.
@@ -96,13 +101,30 @@
             try:
                 await run()
             except Exception:
-                _LOG.error(
-                    "worker task failed",
-                    worker=self._worker_id,
-                    fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
-                )
+                self._log_fault("worker task failed")
             await asyncio.sleep(ERROR_RETRY_DELAY_MS / 1000)
 
+    async def _answer_of(
+        self, call: Coroutine[None, None, Answer]
+    ) -> Answer | NoAnswer:
+        """Return the answer to a call, also if the call raises.
+
+        Without a result, the order would stay in flight for good, and the
+        worker would seem to answer lease renewals that fail.
+        """
+        try:
+            return await call
+        except Exception:
+            self._log_fault("call of a worker failed")
+            return NoAnswer(sent=True, reason="unexpected error")
+
+    def _log_fault(self, event: str) -> None:
+        _LOG.error(
+            event,
+            worker=self._worker_id,
+            fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+        )
+
     async def _send_holds(self) -> None:
         while True:
             now = system_clock.now()
@@ -120,11 +142,13 @@
                 self._hold_due.clear()
                 continue
             description = worker.description
-            answer = await self._caller.renew_lease(
-                description,
-                renewal,
-                renewal.wait_ms + self._settings.order_timeout_ms,
-                self._is_leading,
+            answer = await self._answer_of(
+                self._caller.renew_lease(
+                    description,
+                    renewal,
+                    renewal.wait_ms + self._settings.order_timeout_ms,
+                    self._is_leading,
+                )
             )
             self._dispatcher.handle_renewal_result(
                 self._worker_id,
@@ -155,12 +179,14 @@
                 continue
             key, order = due
             description = worker.description
-            answer = await self._caller.order(
-                description,
-                connection_index,
-                order,
-                self._settings.order_timeout_ms,
-                self._is_leading,
+            answer = await self._answer_of(
+                self._caller.order(
+                    description,
+                    connection_index,
+                    order,
+                    self._settings.order_timeout_ms,
+                    self._is_leading,
+                )
             )
             self._dispatcher.handle_order_result(
                 self._worker_id,
--- a/testing/controller/test_worker_senders.py
+++ b/testing/controller/test_worker_senders.py
@@ -1,15 +1,27 @@
 """Tests of the tasks that send lease renewals and orders to a worker."""
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.orders import LeaseRenewed
+from sardinespool.dispatch.orders import Order
+from sardinespool.dispatch.orders import OrderDone
+from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.workflows import StepSpec
+from sardinespool.observability.metrics import Metrics
 from sardinespool.programs.controller import worker_senders
 from sardinespool.programs.controller.worker_senders import WorkerSender
+from sardinespool.transport import system_clock
+from testing.dispatch.support import add_running
+from testing.dispatch.support import make_worker
 
 
 class FailingDispatcher:
@@ -139,3 +151,139 @@
     asyncio.run(run())
     # One task for lease renewals and one for each order connection.
     assert lease_checks == 1 + worker_senders.ORDER_CONNECTIONS_PER_WORKER
+
+
+class RaisingCaller:
+    """Raises in the first calls of each kind, then answers them.
+
+    Attributes
+    ----------
+    raising_calls : int
+        Number of calls of each kind that raise.
+    """
+
+    def __init__(self, raising_calls: int) -> None:
+        self.raising_calls = raising_calls
+        self.renewals = 0
+        self.orders: list[Order] = []
+
+    async def renew_lease(self, *_: Any) -> LeaseRenewed:
+        self.renewals += 1
+        await asyncio.sleep(0.001)
+        if self.renewals <= self.raising_calls:
+            raise RecursionError
+        return LeaseRenewed(1, 1, (), ())
+
+    async def order(
+        self, worker: Any, connection_index: int, order: Order, *_: Any
+    ) -> OrderDone:
+        self.orders.append(order)
+        await asyncio.sleep(0.001)
+        if len(self.orders) <= self.raising_calls:
+            raise RecursionError
+        return OrderDone(1)
+
+    def close_connections(self, worker_id: str) -> None:
+        """Do nothing."""
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    for _ in range(10_000):
+        if condition():
+            return
+        await asyncio.sleep(0.002)
+    raise AssertionError("the condition never became true")
+
+
+def dispatcher_with_ordered_run() -> Dispatcher:
+    """Return a dispatcher that has a start to send to worker ``w``."""
+    settings = DispatchSettings(retry_ms=1)
+    dispatcher = Dispatcher(
+        ControlMachine(),
+        settings,
+        lambda worker_id: None,
+        DispatchMetrics(Metrics("controller", "a")),
+    )
+    dispatcher.orders.fencing_token = 1
+    worker = make_worker("w", 4_000)
+    worker.reconciled = worker.answered = True
+    worker.clock.read(1, system_clock.now().boot_ms)
+    run = add_running(worker, StepSpec(count=1), "j")
+    run.phase = RunPhase.ORDERED
+    worker.pending[run.key] = run
+    dispatcher.fleet.workers["w"] = worker
+    return dispatcher
+
+
+def test_order_is_sent_again_after_exception_in_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an order that stays in flight for good.
+
+    Its task would neither run nor be placed elsewhere.
+    """
+    log_fields: list[dict[str, Any]] = []
+    monkeypatch.setattr(
+        worker_senders._LOG,
+        "error",
+        lambda event, **fields: log_fields.append(fields),
+    )
+    dispatcher = dispatcher_with_ordered_run()
+    (run,) = dispatcher.fleet.workers["w"].runs.values()
+    caller = RaisingCaller(raising_calls=2)
+    # The renewals would find that the run is not on the worker.
+    dispatcher.orders.next_lease_renewal = (  # type: ignore[method-assign]
+        lambda worker_id, now: None
+    )
+
+    async def run_sender() -> None:
+        sender = WorkerSender(
+            "w",
+            dispatcher,
+            caller,  # type: ignore[arg-type]
+            DispatchSettings(retry_ms=1),
+            lambda: True,
+            lambda: None,
+        )
+        await wait_until(lambda: run.phase is RunPhase.RUNNING)
+        sender.close()
+
+    asyncio.run(run_sender())
+    assert len(caller.orders) == 3
+    assert not run.in_flight
+    # Both calls without an answer may have started the run.
+    assert run.unanswered == 2
+    assert len(log_fields) == 2
+    assert "RecursionError" in log_fields[0]["fault"]
+
+
+def test_worker_whose_renewals_raise_does_not_count_as_answering() -> None:
+    """Guards against runs that are taken for running after their lease.
+
+    Their leases expire, as no renewal arrives, while the worker seems to
+    answer.
+    """
+    dispatcher = dispatcher_with_ordered_run()
+    worker = dispatcher.fleet.workers["w"]
+    worker.runs.clear()
+    worker.pending.clear()
+    worker.reconciled = False
+    dispatcher.fleet.heartbeat_boot_ms["w"] = system_clock.now().boot_ms
+    caller = RaisingCaller(raising_calls=3)
+
+    async def run_sender() -> None:
+        sender = WorkerSender(
+            "w",
+            dispatcher,
+            caller,  # type: ignore[arg-type]
+            DispatchSettings(retry_ms=1),
+            lambda: True,
+            lambda: None,
+        )
+        await wait_until(lambda: not worker.answered)
+        await wait_until(lambda: worker.answered)
+        sender.close()
+
+    asyncio.run(run_sender())
+    assert caller.renewals >= 4
+    assert worker.reconciled
