Refuse reports that no worker can have sent

What callers saw: after one report of another program under the id of a worker with a start time of 2**63 - 1, each heartbeat of that worker was taken for one of an earlier process. Its capacity was never used again, and its draining was not noticed. A sequence number of that size did the same for the process. A capacity of that size counted in the share of reserved processors. An id with a control character made each call of the worker raise.

Cause: reports were only checked for their types and for 64 bits.

Change: dispatch/report_check.py gives each field a limit with its source. The leader checks the report, so that one that another member forwarded is checked too. A request whose headers can't be encoded counts as not sent.

Open: a report within the limits under the id of a worker can't be told from one of that worker.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -6,6 +6,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.report_check import check_report
 from sardinespool.errors.tasks import InvalidJobError
 from sardinespool.errors.tasks import JobGoneError
 from sardinespool.errors.transport import InvalidMessageError
@@ -116,6 +117,7 @@
                 )
                 return Proposal(request)
             case ReportWorker():
+                check_report(request, now)
                 if self._dispatcher.handle_heartbeat(request, now):
                     return Proposal(PutWorker(description=request.description))
                 return ImmediateReply(Accepted())
--- a/src/sardinespool/transport/http_client.py
+++ b/src/sardinespool/transport/http_client.py
@@ -94,6 +94,7 @@
             self._write_request(request, request_id)
         except (
             StreamClosedError,
+            httputil.HTTPInputError,
             httputil.HTTPOutputError,
             ValueError,
         ) as error:
