Let a worker recover from a wrong report under its name

What callers saw: after one wrong heartbeat of another program, a worker was not used again until the next change of leader, its draining was not noticed, or its runs were given up while it still had its lease.

Cause, three of a kind: a heartbeat changed state that no later one could change back. The highest sequence number stayed for good. A clock reading that was too high stayed, as lower ones count as late; the leases are counted on that clock. A worker that was dropped because another one claimed its machine stayed in the replicated state, so its next heartbeats changed nothing there and were never committed.

A heartbeat of a worker that is recorded but unknown to the dispatcher is committed again.

Open: a report that names the machine of a worker with a later start time still ends that worker's runs; it counts again with its next heartbeat.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -139,16 +139,24 @@
         if worker is not None and description.incarnation == incarnation_of(
             worker
         ):
-            worker.clock.read(report.clock_ms, now.boot_ms)
-            if report.sequence <= worker.sequence:
+            if (
+                report.sequence <= worker.sequence
+                and now.boot_ms - worker.sequence_boot_ms
+                < self._settings.late_order_ms
+            ):
                 return False
+            # A lower number after that time is no late report: the higher
+            # one was not the worker's.
             worker.sequence = report.sequence
+            worker.sequence_boot_ms = now.boot_ms
             if description.draining:
                 worker.leaves_boot_ms = now.boot_ms + report.remaining_ms
         self.heartbeat_boot_ms[description.worker_id] = now.boot_ms
         if recorded is not None:
             description = keep_draining(recorded, description)
-        return description != recorded
+        # A worker that was dropped because of another one that claimed its
+        # host or address is recorded still.
+        return description != recorded or worker is None
 
     def has_left(
         self, worker_id: str, incarnation: int | None, now: Instant
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -33,6 +33,8 @@
         Latest lease end sent by this leader, in the worker's clock.
     unknown_lease_end_boot_ms : int
         Until then, leases granted by an earlier leader may be valid.
+    sequence, sequence_boot_ms : int
+        Sequence number of the last heartbeat that counted, and its arrival.
     acknowledged_end : int
         Ends up to this number are committed.
     last_listed_end : int
@@ -72,6 +74,7 @@
         self.pending: dict[RunKey, RunState] = {}
         self.unanswered_starts: dict[RunKey, tuple[int, RunState]] = {}
         self.sequence = -1
+        self.sequence_boot_ms = 0
         self.answered = False
         self.reconciled = False
         self.lease_end_ms = 0
--- a/src/sardinespool/messages/worker_reports.py
+++ b/src/sardinespool/messages/worker_reports.py
@@ -51,8 +51,9 @@
     """A worker's heartbeat.
 
     `sequence` increases with each heartbeat of an incarnation. `clock_ms` is
-    the worker's clock. `remaining_ms` is the minimum time until a draining
-    worker leaves.
+    the worker's clock; leases are counted on the readings in the worker's
+    answers, which come from the worker itself. `remaining_ms` is the minimum
+    time until a draining worker leaves.
     """
 
     description: WorkerDescription
