Refuse numbers in workers' lists that no record can hold

What callers saw: tasks whose ends were never recorded, and after a run number of more than 64 bits no planning at all.

Cause: rows of running tasks were decoded without types, so that a run number or a measurement had no limit. The end of such a run can't be encoded. Other numbers were limited to 64 bits, but an end could have a negative number, and a lease added to the clock left 64 bits.

Change: both kinds of rows are typed with limits; a reading of a clock is limited to the year 9999. A list with a row that can't be read is refused as a whole, as before: without the row its run would seem to have ended.

--- a/src/sardinespool/platform/integers.py
+++ b/src/sardinespool/platform/integers.py
@@ -1,4 +1,4 @@
-"""Ranges of integers in received messages.
+"""Ranges of numbers in received messages.
 
 JSON integers have no limit, but replicated commands hold 64 bits.
 """
@@ -10,8 +10,20 @@
 _INTEGER_MAX = 2**63 - 1
 """Largest signed integer of 64 bits."""
 
+_TIME_MAX_MS = 253_402_300_799_999
+"""Last millisecond of the year 9999; a lease added to it still has 64 bits."""
+
 Integer = Annotated[int, msgspec.Meta(ge=-_INTEGER_MAX, le=_INTEGER_MAX)]
 """Integer that any command can hold."""
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=_INTEGER_MAX)]
 """Number, size or time, which is never negative."""
+
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=_TIME_MAX_MS)]
+"""Reading of a clock."""
+
+Measurement = (
+    Annotated[int, msgspec.Meta(ge=-_INTEGER_MAX, le=_INTEGER_MAX)]
+    | Annotated[float, msgspec.Meta(ge=-_INTEGER_MAX, le=_INTEGER_MAX)]
+)
+"""Number that may have decimals."""
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -21,6 +21,8 @@
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.platform.integers import Count
 from sardinespool.platform.integers import Integer
+from sardinespool.platform.integers import Measurement
+from sardinespool.platform.integers import Milliseconds
 from sardinespool.settings.addresses import split_address
 
 
@@ -52,17 +54,31 @@
     born: Count | None = None
 
 
+class _RunningRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    run: Count
+    checkpoint: str
+    percent: Measurement
+    load: Measurement | None = None
+
+
+class _EndedRow(msgspec.Struct, frozen=True, array_like=True):
+    number: Count
+    task: str
+    run: Count
+    end_reason: str
+    checkpoint: str
+
+
 class _RenewLeaseResponse(msgspec.Struct, frozen=True):
-    clock_ms: Integer
-    # [task, run, checkpoint, percent, load]; load may be missing.
-    running: tuple[tuple[object, ...], ...] = ()
-    # [number, task, run, end reason, checkpoint].
-    ended: tuple[tuple[Integer, str, Integer, str, str], ...] = ()
+    clock_ms: Milliseconds
+    running: tuple[_RunningRow, ...] = ()
+    ended: tuple[_EndedRow, ...] = ()
     born: Count | None = None
 
 
 class _OrderResponse(msgspec.Struct, frozen=True):
-    clock_ms: Integer | None = None
+    clock_ms: Milliseconds | None = None
     reason: str = ""
 
 
@@ -200,26 +216,30 @@
     """
     try:
         response = decode(_RENEW_LEASE_DECODER, body)
-        running = tuple(_decode_running_row(row) for row in response.running)
         ended = tuple(
             EndedRun(
-                number,
-                task,
-                run,
-                _OUTCOME_BY_END_REASON[end_reason],
-                checkpoint,
+                row.number,
+                row.task,
+                row.run,
+                _OUTCOME_BY_END_REASON[row.end_reason],
+                row.checkpoint,
             )
-            for number, task, run, end_reason, checkpoint in response.ended
+            for row in response.ended
         )
-    except (
-        InvalidMessageError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except (InvalidMessageError, KeyError) as error:
         raise InvalidMessageError(
             f"The lists of a worker can't be read: {error!r}"
         ) from error
+    running = tuple(
+        RunningRun(
+            row.task,
+            row.run,
+            row.checkpoint,
+            int(row.percent),
+            None if row.load is None else int(row.load),
+        )
+        for row in response.running
+    )
     return LeaseRenewed(response.clock_ms, response.born, running, ended)
 
 
@@ -230,23 +250,3 @@
     except InvalidMessageError:
         return None, None
     return response.clock_ms, _REFUSAL_BY_REASON.get(response.reason)
-
-
-def _decode_running_row(row: tuple[object, ...]) -> RunningRun:
-    task, run, checkpoint, percent, *optional = row
-    load = optional[0] if optional else None
-    if not (
-        isinstance(task, str)
-        and isinstance(run, int)
-        and isinstance(checkpoint, str)
-        and isinstance(percent, int | float)
-        and isinstance(load, int | float | None)
-    ):
-        raise TypeError(f"invalid running row {row!r}")
-    return RunningRun(
-        task,
-        run,
-        checkpoint,
-        int(percent),
-        None if load is None else int(load),
-    )
