Start planning again after a plan that can't be encoded

What callers saw: no task was placed any more, without a line in the log.

Cause: a command that the leader proposed itself and that could not be encoded was dropped, as nobody waits for its reply. The dispatcher proposes its plan again until it is applied, so the same plan was dropped in each batch.

Change: such a command is a fault of the service, like an exception while planning: it is logged, and the service starts again from the replicated state. No input is known that leads there since the numbers of workers' lists are limited.

--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -264,7 +264,9 @@
     def _propose(
         self, proposals: list[tuple[CommandBody, Waiter]], now: Instant
     ) -> list[replica_effects.Effect]:
-        payloads, waiters = encode_proposals(proposals, now.unix_ms)
+        payloads, waiters = encode_proposals(
+            proposals, now.unix_ms, self._leader_service.handle_unencodable
+        )
         if not payloads:
             return []
         effects = self._replica.handle(replica_events.Propose(payloads), now)
--- a/src/sardinespool/programs/store/leader_service.py
+++ b/src/sardinespool/programs/store/leader_service.py
@@ -107,6 +107,13 @@
             self._record_fault("tick", "")
             return []
 
+    def handle_unencodable(self, command: str) -> None:
+        """Handle the exception of a command that can't be encoded.
+
+        The service would propose the same command for good.
+        """
+        self._record_fault("encode", command)
+
     def _record_fault(self, event: str, command: str) -> None:
         self._faulty = True
         log_fault(self._group, event, command)
--- a/src/sardinespool/programs/store/pending.py
+++ b/src/sardinespool/programs/store/pending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import ProposalLostError
@@ -73,10 +74,22 @@
 
 
 def encode_proposals(
-    proposals: list[tuple[CommandBody, Waiter]], now_unix_ms: int
+    proposals: list[tuple[CommandBody, Waiter]],
+    now_unix_ms: int,
+    handle_fault: Callable[[str], None],
 ) -> tuple[tuple[bytes, ...], list[Waiter]]:
     """Encode the commands; fail the waiters of those that can't be encoded.
 
+    Parameters
+    ----------
+    proposals : list of (CommandBody, Waiter)
+        Commands to encode.
+    now_unix_ms : int
+        Current time in milliseconds since 1970.
+    handle_fault : callable
+        Called in the exception handler with the type of a command that the
+        leader proposed itself, as no waiter learns of it.
+
     Returns
     -------
     payloads : tuple of bytes
@@ -91,6 +104,8 @@
         try:
             payloads.append(codec.encode(command))
         except InvalidMessageError as error:
+            if waiter.reply is None:
+                handle_fault(type(body).__name__)
             fail(waiter, error)
         else:
             waiters.append(waiter)
--- a/testing/store/test_unexpected_errors.py
+++ b/testing/store/test_unexpected_errors.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.groups.control_machine import ControlMachine
@@ -14,6 +16,7 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import SubmitWorkflow
 from sardinespool.messages.workflows import WorkflowSpec
+from testing.dispatch.support import make_worker
 from testing.store.control_cluster import ControlCluster
 from testing.store.control_cluster import make_description
 from testing.store.control_cluster import MANIFEST
@@ -144,3 +147,27 @@
     cluster.run(200)
     for member in cluster.members.values():
         assert list(member.machine.table.workflows) == ["next"]
+
+
+def test_planning_goes_on_after_a_plan_that_cannot_be_encoded() -> None:
+    """Guards against planning that stops for good at one plan.
+
+    The dispatcher proposes its plan again until it is applied.
+    """
+    cluster = ControlCluster()
+    leader = cluster.leader
+    run = RunState("j.0.0.0", TOO_LARGE, None, RunPhase.RUNNING, 0)
+    leader.dispatcher.end_run(make_worker("w", 1_000), run, "lost", "test")
+    cluster.run(200)
+    scheduled = SubmitWorkflow(
+        host="h",
+        path="/q/scheduled",
+        spec=WorkflowSpec(
+            payload="text", steps=(StepSpec(count=1),), repetitions=1
+        ),
+    )
+    cluster.call(scheduled)
+    cluster.run(2_500)
+    assert cluster.leader is leader
+    # Only a plan opens the first occurrence.
+    assert not leader.machine.table.unopened
