Refuse a stretch that leaves no finite objective

What callers saw: no task was placed any more after a manifest with a stretch of 1e308.

Cause: the completion objective, stretch times the critical path, was infinite. Its conversion to an integer raised in each planning pass.

Change: the stretch of a queue is from 0 to 1,000,000, far above any that has a use; other manifests are invalid (400).

Evidence: objective_of raised OverflowError for a task of 900 ms; the 3 rows of test_stretch_without_an_objective_is_refused fail before the change; the 207 tests of testing/platform pass with it.

--- a/src/sardinespool/platform/manifest_codec.py
+++ b/src/sardinespool/platform/manifest_codec.py
@@ -1,5 +1,7 @@
 """JSON decoding of manifests."""
 
+from typing import Annotated
+
 import msgspec
 
 from sardinespool.errors.configuration import InvalidManifestError
@@ -11,6 +13,9 @@
 from sardinespool.platform.integers import Count
 from sardinespool.platform.integers import Integer
 
+_STRETCH_MAX = 1_000_000
+"""Keeps the completion objectives of all jobs finite."""
+
 
 class _Route(msgspec.Struct, frozen=True):
     name: str
@@ -23,7 +28,7 @@
     priority: Integer = 0
     # Number of failed runs of a task at which its job fails.
     max_attempts: Count = 1
-    stretch: float = 1.0
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=_STRETCH_MAX)] = 1.0
 
 
 class _Service(msgspec.Struct, frozen=True):
--- a/testing/platform/test_wire.py
+++ b/testing/platform/test_wire.py
@@ -83,6 +83,25 @@
         decode_heartbeat("i-1", body)
 
 
+@pytest.mark.parametrize("stretch", [-1.0, 1e7, 1e308])
+def test_stretch_without_an_objective_is_refused(stretch: float) -> None:
+    """Guards against planning that fails at each job of a queue.
+
+    The objective, `stretch` times the critical path, must be finite.
+    """
+    route = {
+        "name": "r",
+        "host": "h",
+        "path_prefix": "/q/",
+        "service": "s",
+        "timeout_ms": 1,
+        "stretch": stretch,
+    }
+    body = {"version": 1, "routes": [route], "services": [{"name": "s"}]}
+    with pytest.raises(InvalidManifestError):
+        decode_manifest(json.dumps(body).encode())
+
+
 def test_job_fields() -> None:
     """Guards against a field of a step that is lost in decoding."""
     step = {
