--- a/testing/platform/test_worker_client.py
+++ b/testing/platform/test_worker_client.py
@@ -9,10 +9,14 @@
 
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.dispatch.orders import OrderDone
+from sardinespool.dispatch.orders import OrderRefused
+from sardinespool.dispatch.orders import Refusal
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import StopRun
 from sardinespool.dispatch.orders import Withheld
 from sardinespool.messages.worker_reports import WorkerDescription
+from sardinespool.platform import worker_client
 from sardinespool.platform.worker_client import WorkerClient
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_server import HttpListener
@@ -76,6 +80,10 @@
     )
 
 
+def repr_short(value: object) -> str:
+    return repr(value)[:20]
+
+
 async def renew(
     client: WorkerClient, worker: WorkerDescription, count: int
 ) -> list[object]:
@@ -186,3 +194,81 @@
         return answer, worker.acknowledged
 
     assert asyncio.run(run()) == (Withheld(), [])
+
+
+class SequenceWorker:
+    """Sends the given answers in turn, the last one for good."""
+
+    def __init__(self, address: str, *answers: tuple[int, bytes]) -> None:
+        self._answers = list(answers)
+        self.listener = HttpListener(address, self, ServerLimits(10_000))
+
+    async def __call__(self, received: ReceivedRequest) -> HttpResponse:
+        status, body = self._answers[0]
+        if len(self._answers) > 1:
+            del self._answers[0]
+        return HttpResponse(status, (), body)
+
+
+DEEP = b'{"clock_ms":1,"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+LARGE = b'{"clock_ms":' + b"9" * 400 + b"}"
+GOOD = b'{"clock_ms":7,"running":[],"ended":[],"born":1}'
+
+
+@pytest.mark.parametrize("body", [DEEP, LARGE, b"\xff", b""], ids=repr_short)
+@pytest.mark.parametrize(
+    ("status", "order_answer"),
+    [
+        (200, OrderDone(None)),
+        (409, OrderRefused(Refusal.INVALID)),
+        (503, OrderRefused(Refusal.UNHEALTHY)),
+        (299, NoAnswer(sent=True, reason="status 299")),
+        (500, NoAnswer(sent=True, reason="status 500")),
+    ],
+)
+def test_next_answer_counts_after_an_odd_one(
+    body: bytes,
+    status: int,
+    order_answer: object,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a worker that stays unused after one odd answer.
+
+    The status of an odd answer still tells whether an order was carried out.
+    """
+    warnings: list[str] = []
+    monkeypatch.setattr(
+        worker_client._LOG,
+        "warning",
+        lambda event, **fields: warnings.append(event),
+    )
+
+    async def run() -> list[object]:
+        address = free_address()
+        client = WorkerClient(IndexedHttpConnections())
+        stub = SequenceWorker(
+            address, (status, body), (200, GOOD), (status, body), (200, GOOD)
+        )
+        stub.listener.start()
+        worker = describe(address, 1)
+        answers: list[object] = [
+            await client.order(
+                worker, 0, StopRun("t", 1, 1), 60_000, lambda: True
+            )
+            for _ in range(2)
+        ]
+        renewal = RenewLease(1, 0, 0)
+        answers += [
+            await client.renew_lease(worker, renewal, 60_000, lambda: True)
+            for _ in range(2)
+        ]
+        client.close_connections("w")
+        await stub.listener.stop()
+        return answers
+
+    first, second, odd_renewal, good_renewal = asyncio.run(run())
+    assert first == order_answer
+    assert second == OrderDone(7)
+    assert not isinstance(odd_renewal, LeaseRenewed)
+    assert good_renewal == LeaseRenewed(7, 1, (), ())
+    assert len(warnings) == (status == 200)
