End an earlier worker's runs once the later one has answered

What callers saw: tasks started a second time while the first run went on.

Cause: a committed heartbeat of a new id with the machine of a known worker and a later start time ended the runs of that worker at once. Anyone can send such a heartbeat.

Change: the earlier worker is dropped when the later one has answered a lease renewal, which only a process at its address that has its id does. For a worker that did restart under another id that is one round trip later.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -191,6 +191,7 @@
     ) -> None:
         if not worker.answered:
             worker.answered = True
+            self._fleet.drop_earlier_workers(worker.description)
             _LOG.info("worker answers", worker=worker.worker_id)
         worker.last_answer_boot_ms = now.boot_ms
         if clock_ms is not None:
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -185,7 +185,6 @@
         """Apply a committed description."""
         worker = self.workers.get(description.worker_id)
         if worker is None:
-            self._drop_earlier_workers(description)
             self.workers[description.worker_id] = WorkerState(
                 description, self._settings, now.boot_ms
             )
@@ -274,6 +273,21 @@
             self._end_run(worker, run, "lost", reason)
         self.workers.pop(worker.worker_id, None)
 
+    def drop_earlier_workers(self, description: WorkerDescription) -> None:
+        """Drop the workers that used the host of a worker before.
+
+        The worker must have answered: anyone can report a host.
+        """
+        if not description.host:
+            return
+        for other in list(self.workers.values()):
+            if (
+                other.description.host == description.host
+                and other.worker_id != description.worker_id
+                and incarnation_of(other) < description.incarnation
+            ):
+                self.drop(other, "another worker runs on its host")
+
     def accepts_starts(self, worker: WorkerState, now: Instant) -> bool:
         """Return whether new tasks may be placed on a worker."""
         return (
@@ -326,18 +340,6 @@
             self.heartbeat_boot_ms.get(worker.worker_id, -CONTACT_TIMEOUT_MS),
         )
 
-    def _drop_earlier_workers(self, description: WorkerDescription) -> None:
-        """Drop the workers that used the host of a new worker before."""
-        if not description.host:
-            return
-        for other in list(self.workers.values()):
-            if (
-                other.description.host == description.host
-                and other.worker_id != description.worker_id
-                and incarnation_of(other) < description.incarnation
-            ):
-                self.drop(other, "another worker runs on its host")
-
 
 def incarnation_of(worker: WorkerState) -> int:
     """Return the incarnation of a worker, its start time."""
