Remove a learner that is lost for good

Callers could see a control group that never replaces a lost member: the group stays short of a voter, and the next loss ends its service.

Cause: one member joins at a time. A learner that does not answer was neither promoted nor removed, and its place is in the replicated configuration, so every further join request was refused, under each later leader as well.

Now, with open membership, a learner that is silent for dead_voter_ms, counted from when the leader began to send to it, is removed. It joins again when it returns.

--- a/src/sardinespool/replication/leadership.py
+++ b/src/sardinespool/replication/leadership.py
@@ -8,6 +8,7 @@
 from sardinespool.replication.log_sender import LogSender
 from sardinespool.replication.membership import add_learner
 from sardinespool.replication.membership import next_membership_change
+from sardinespool.replication.membership import remove_dead_learner
 from sardinespool.replication.membership import remove_dead_voter
 from sardinespool.replication.messages import AppendReply
 from sardinespool.replication.messages import SnapshotReply
@@ -99,10 +100,11 @@
                 self._unresponsive_members(now),
             )
             if change is None and raft.settings.open_membership:
-                change = remove_dead_voter(
-                    configuration,
-                    self._responsive_members(now),
-                    self._dead_members(now),
+                dead = self._dead_members(now)
+                change = remove_dead_learner(
+                    configuration, dead
+                ) or remove_dead_voter(
+                    configuration, self._responsive_members(now), dead
                 )
             self._propose_configuration(change, now)
 
@@ -192,19 +194,21 @@
                 for offset, (kind, payload) in enumerate(payloads)
             )
         )
-        self._update_tracked_members()
+        self._update_tracked_members(now)
         self._advance_commit_index()
         for identity in self._progress:
             self._log_sender.send_missing(identity, now)
 
-    def _update_tracked_members(self) -> None:
+    def _update_tracked_members(self, now: Instant) -> None:
         raft = self._raft
         assert raft.configuration is not None
         members = set(raft.configuration.members) - {raft.identity}
         for identity in self._progress.keys() - members:
             del self._progress[identity]
         for identity in sorted(members - self._progress.keys()):
-            self._progress[identity] = Progress(raft.log.last_index + 1)
+            self._progress[identity] = Progress(
+                raft.log.last_index + 1, tracked_boot_ms=now.boot_ms
+            )
 
     def _propose_configuration(
         self, configuration: Configuration | None, now: Instant
@@ -275,7 +279,7 @@
         """Return the members that are considered dead.
 
         They have not acknowledged the leader for `dead_voter_ms`, counted
-        from its election at the earliest.
+        from its election, or from their joining, at the earliest.
         """
         limit_ms = self._raft.settings.dead_voter_ms
         return {
@@ -283,5 +287,5 @@
             for identity, progress in self._progress.items()
             if now.boot_ms
             >= limit_ms
-            + max(self._elected_boot_ms, progress.acknowledged_boot_ms or 0)
+            + max(progress.tracked_boot_ms, progress.acknowledged_boot_ms or 0)
         }
--- a/src/sardinespool/replication/membership.py
+++ b/src/sardinespool/replication/membership.py
@@ -144,6 +144,20 @@
     return None
 
 
+def remove_dead_learner(
+    configuration: Configuration, dead: set[str]
+) -> Configuration | None:
+    """Return the configuration without one of the dead learners, if any.
+
+    Only one member joins at a time, so a learner that never returns would
+    keep all others out. It joins again when it returns.
+    """
+    for learner in configuration.learners:
+        if learner.identity in dead:
+            return remove_learner(configuration, learner.identity)
+    return None
+
+
 def remove_learner(
     configuration: Configuration, identity: str
 ) -> Configuration:
--- a/src/sardinespool/replication/progress.py
+++ b/src/sardinespool/replication/progress.py
@@ -14,6 +14,9 @@
     ----------
     next_index : int
         Index of the next entry to send.
+    tracked_boot_ms : int
+        Time, on the leader's clock, from which the leader has sent to the
+        member in this term.
     match_index : int
         Highest index up to which the member's log is known to match.
     probing : bool
@@ -32,6 +35,7 @@
     """
 
     next_index: int
+    tracked_boot_ms: int
     match_index: int = 0
     probing: bool = True
     probe_in_flight: bool = False
--- a/testing/replication/test_open_membership.py
+++ b/testing/replication/test_open_membership.py
@@ -54,6 +54,13 @@
             return set(map(member_name, node.replica.status().voters))
         return set()
 
+    def learners(self) -> set[str]:
+        """Return the names of the leader's learners."""
+        for node in self.leaders():
+            assert node.replica is not None
+            return set(map(member_name, node.replica.status().learners))
+        return set()
+
     def propose_commands(self, count: int) -> None:
         for number in range(count):
             self.propose((f"{self.now_ms}-{number}".encode(),))
@@ -137,3 +144,20 @@
     node = cluster.nodes["d"]
     assert node.replica is not None
     assert not node.replica.status().formed
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_learner_lost_for_good_does_not_block_replacements(seed: int) -> None:
+    """Guards against joins that wait for a member that never returns."""
+    cluster = formed_cluster(seed)
+    cluster.crash("c")
+    cluster.run(1_000)
+    cluster.add("d")
+    while not cluster.learners():
+        cluster.step()
+    cluster.crash("d")
+    cluster.add("e")
+    cluster.run(2 * CATCH_UP_MS)
+    assert cluster.learners() == set()
+    assert cluster.voters() == {"a", "b", "e"}
+    cluster.propose_commands(5)
