Keep the deadline of late starts over further restarts

Callers could see a task that never starts while its worker starts anew again and again and calls to it fail, although its heartbeats arrive.

Cause: the end of a start that may reach a later process is awaited from the restart on (18 s). Each further restart set that time anew, although nothing had been sent in between, so restarts every 18 s or faster postponed it forever.

Now a process that was granted no lease passes its deadline on.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -220,16 +220,21 @@
             earlier_life=incarnation_of(worker),
             runs=len(worker.runs),
         )
-        successor = WorkerState(
-            description,
-            self._settings,
+        late_lease_end_boot_ms = (
             now.boot_ms
             + self._settings.late_order_ms
             + int(
                 self._settings.lease_limit_ms / self._settings.clock_rate_min
             )
-            + self._settings.lease_margin_ms,
+            + self._settings.lease_margin_ms
+        )
+        if worker.restarted and not worker.lease_end_ms:
+            # No start was sent since the restart before.
+            late_lease_end_boot_ms = worker.unknown_lease_end_boot_ms
+        successor = WorkerState(
+            description, self._settings, late_lease_end_boot_ms
         )
+        successor.restarted = True
         self.workers[worker.worker_id] = successor
         for run in list(worker.runs.values()):
             if run.in_flight:
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -32,7 +32,10 @@
     lease_end_ms : int
         Latest lease end sent by this leader, in the worker's clock.
     unknown_lease_end_boot_ms : int
-        Until then, leases granted by an earlier leader may be valid.
+        Until then, leases granted by an earlier leader, or by late starts of
+        an earlier incarnation, may be valid.
+    restarted : bool
+        Whether this leader knew an earlier incarnation.
     sequence, sequence_boot_ms : int
         Sequence number of the last heartbeat that counted, and its arrival.
     acknowledged_end : int
@@ -75,6 +78,7 @@
         self.unanswered_starts: dict[RunKey, tuple[int, RunState]] = {}
         self.sequence = -1
         self.sequence_boot_ms = 0
+        self.restarted = False
         self.answered = False
         self.reconciled = False
         self.lease_end_ms = 0
--- a/testing/dispatch/test_lost_workers.py
+++ b/testing/dispatch/test_lost_workers.py
@@ -163,3 +163,42 @@
     simulation.run(simulation.settings.late_order_ms + RESTART_MAX_MS)
     assert task in tasks_elsewhere(simulation, "w0")
     assert simulation.oracle.violations == []
+
+
+@pytest.mark.parametrize("late", [0.0, 1.0])
+@pytest.mark.parametrize("period_ms", [500, 3_000, 8_000])
+def test_restarts_of_unreachable_worker_do_not_delay_its_tasks(
+    period_ms: int, late: float
+) -> None:
+    """Guards against restarts that each postpone the end of a lost start."""
+    simulation = Simulation(1, workers=4)
+    simulation.faults.late = late
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: RUN_TIME_MS
+    # The clock of a later process is behind that of this one.
+    simulation.run(30_000)
+    lost = simulation.workers["w0"]
+    lost.reachable = False
+    simulation.submit("job", LONG_RUNNING)
+    simulation.run(100)
+    assert "w0" in simulation.machine.table.assigned
+    settings = simulation.settings
+    end_ms = (
+        simulation.now_ms
+        + settings.late_order_ms
+        + settings.lease_limit_ms
+        + RESTART_MAX_MS
+    )
+    while simulation.now_ms < end_ms:
+        lost.crash()
+        lost.start_incarnation(simulation.now_ms)
+        report = ReportWorker(
+            description=lost.description(),
+            sequence=1,
+            clock_ms=lost.clock(simulation.now_ms),
+        )
+        simulation.request(report)
+        simulation.run(period_ms)
+    assert len(tasks_elsewhere(simulation, "w0")) == LONG_RUNNING.count
+    assert simulation.oracle.violations == []
