Count an answer of an earlier incarnation as none

Callers could see tasks that never start again after their worker started anew, on a host whose wall clock was set back in between.

Cause: the list named an earlier start than the known one and was ignored, but the worker still counted as answering, so each renewal extended the lease further. No list was applied, so its runs did not end under this leader.

Now such an answer counts as none, as one of a later incarnation does.

Evidence: test_answers_of_an_earlier_incarnation_extend_no_lease failed before and passes now; testing/dispatch/test_lost_workers.py passes (29).

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -108,7 +108,10 @@
                 incarnation is not None
                 and incarnation != worker.description.incarnation
             ):
-                self._handle_other_incarnation(worker, incarnation)
+                # The heartbeat of a later one brings the full description.
+                self._mark_unresponsive(
+                    worker, "another incarnation of the worker answered"
+                )
             case LeaseRenewed():
                 self._mark_responsive(worker, answer.clock_ms, now)
                 self._apply_lists(worker, answer, sent_boot_ms, now)
@@ -219,14 +222,6 @@
         # every order addressed to the earlier one.
         self._fleet.drop(worker, "another worker uses its address")
 
-    def _handle_other_incarnation(
-        self, worker: WorkerState, incarnation: int
-    ) -> None:
-        if incarnation < worker.description.incarnation:
-            return
-        # The heartbeat of the new incarnation brings the full description.
-        self._mark_unresponsive(worker, "the worker has restarted")
-
     def _handle_done(self, run: RunState, order: Order, now: Instant) -> None:
         run.confirmed_boot_ms = now.boot_ms
         match order:
--- a/testing/dispatch/test_lost_workers.py
+++ b/testing/dispatch/test_lost_workers.py
@@ -208,3 +208,21 @@
         simulation.run(period_ms)
     assert len(tasks_elsewhere(simulation, "w0")) == LONG_RUNNING.count
     assert simulation.oracle.violations == []
+
+
+def test_answers_of_an_earlier_incarnation_extend_no_lease() -> None:
+    """Guards against runs kept by a process whose clock was set back."""
+    simulation = Simulation(1, workers=4)
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: RUN_TIME_MS
+    simulation.run(1_500)
+    simulation.submit("job", LONG_RUNNING)
+    simulation.run(3_000)
+    lost = simulation.workers["w0"]
+    assert lost.running
+    lost.start_incarnation(simulation.now_ms)
+    lost.incarnation = 0
+    simulation.run(RESTART_MAX_MS)
+    assert len(tasks_elsewhere(simulation, "w0")) == LONG_RUNNING.count
+    assert simulation.oracle.violations == []
