Give a silent worker the time of a long poll to answer

Cause: a worker that doesn't answer is asked without a wait, so the time limit of the call was order_timeout_ms alone. It answered each time too late, was never counted as answering again, and its lease was not extended.

Now the limit is that of a long poll. A worker that this leader has not reached yet keeps the short one.

--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -11,7 +11,9 @@
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.observability.logs import get_logger
 from sardinespool.programs.controller.worker_caller import WorkerCaller
 from sardinespool.transport import system_clock
@@ -146,7 +148,7 @@
                 self._caller.renew_lease(
                     description,
                     renewal,
-                    renewal.wait_ms + self._settings.order_timeout_ms,
+                    self._renewal_timeout_ms(worker, renewal),
                     self._is_leading,
                 )
             )
@@ -163,6 +165,20 @@
             if not isinstance(answer, LeaseRenewed):
                 await asyncio.sleep(self._settings.retry_ms / 1000)
 
+    def _renewal_timeout_ms(
+        self, worker: WorkerState, renewal: RenewLease
+    ) -> int:
+        """Return the time after which a renewal counts as unanswered.
+
+        A worker that does not answer is asked without a wait. It gets the
+        time of a long poll all the same, as a slow one would lose its lease
+        although it answers.
+        """
+        wait_ms = renewal.wait_ms
+        if worker.reconciled and not worker.answered:
+            wait_ms = max(wait_ms, self._settings.renewal_wait_ms)
+        return wait_ms + self._settings.order_timeout_ms
+
     async def _send_orders(self, connection_index: int) -> None:
         event = self._orders_due[connection_index]
         while True:
