Plan anew after a plan that the group refused

Callers could see that no task starts or ends any more, of any job, until the leader changes.

Cause: the dispatcher proposes a plan until its result arrives. One that is refused, as it raised while it was applied, got a result that was ignored, so it was proposed forever.

Now the service is restarted from the replicated state, as after other unexpected errors; it forgets the plan.

Evidence: test_planning_goes_on_after_a_plan_that_is_refused failed before and passes now; testing/store passes (46).

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -155,6 +155,9 @@
         match body, result:
             case RecordRuns(), RunsRecorded():
                 self._dispatcher.recorded(body, result, now)
+            case RecordRuns(), _:
+                # The dispatcher would propose the same command forever.
+                raise InvalidMessageError("The group refused the plan.")
             case PutWorker(description=description), _:
                 # The state may hold a later description by now.
                 stored = self._machine.workers.get(description.worker_id)
--- a/testing/store/test_unexpected_errors.py
+++ b/testing/store/test_unexpected_errors.py
@@ -16,6 +16,7 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import SubmitWorkflow
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.workflows.table import WorkflowTable
 from testing.dispatch.support import make_worker
 from testing.store.control_cluster import ControlCluster
 from testing.store.control_cluster import make_description
@@ -171,3 +172,42 @@
     assert cluster.leader is leader
     # Only a plan opens the first occurrence.
     assert not leader.machine.table.unopened
+
+
+def test_planning_goes_on_after_a_plan_that_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader that proposes the same plan forever."""
+    cluster = ControlCluster()
+    leader = cluster.leader
+    cluster.call(
+        ReportWorker(
+            description=make_description("w", 1), sequence=1, clock_ms=1
+        )
+    )
+    worker = leader.dispatcher.fleet.workers["w"]
+    run = RunState("job.0.0.0", 1, None, RunPhase.RUNNING, 0)
+    record_runs = WorkflowTable.record_runs
+
+    def refuse_ends(table: WorkflowTable, body: Any, *arguments: Any) -> Any:
+        return fail() if body.ends else record_runs(table, body, *arguments)
+
+    monkeypatch.setattr(WorkflowTable, "record_runs", refuse_ends)
+    leader.dispatcher.end_run(worker, run, "lost", "test")
+    cluster.run(2_500)
+    cluster.call(
+        SubmitWorkflow(
+            host="h",
+            path="/q/due",
+            spec=WorkflowSpec(
+                payload="text",
+                steps=submission("due").spec.steps,
+                repetitions=1,
+                first_due_unix_ms=1,
+                interval_ms=1_000,
+            ),
+        )
+    )
+    cluster.run(500)
+    assert cluster.leader is leader
+    assert leader.machine.table.workflows["due"].occurrences
