Test that a task which crashes its workers is given up

Cause: the end of a run that is lost with its worker leaves no trace on its task, so nothing limits how often such a task starts.

Change: fake workers crash 10 ms after they start a deadly task and are back after 3 s, under a new id on the same host or under the same one. The oracle counts the starts after three crashes and requires that each other job completes.

--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -28,6 +28,8 @@
 LONGEST_LEASE_MS = 6_000
 STOP_GRACE_MS = 300
 NEVER_MS = 10**9
+CRASH_DELAY_MS = 10
+"""Time from the start of a deadly task to the crash of its worker."""
 
 
 @dataclasses.dataclass
@@ -45,7 +47,7 @@
     Parameters
     ----------
     worker_id : str
-        Id, the same for all incarnations.
+        Id, the same for all incarnations unless a restart changes it.
     oracle : Oracle
         Checks each start and end.
     seed : int
@@ -56,6 +58,10 @@
         Share of the other runs that fail.
     run_time_ms : callable or None
         Run time of a task by its name; drawn at random if None.
+    deadly_tasks : set of str
+        Tasks that crash the worker shortly after they start.
+    on_crash : callable or None
+        Called when a task has crashed the worker.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -68,18 +74,26 @@
         self.hanging = False
         self.failure_ratio = 0.05
         self.run_time_ms: Callable[[str], int] | None = None
+        self.deadly_tasks: set[str] = set()
+        self.on_crash: Callable[[], None] | None = None
         self.fenced = 0
         self.up = True
         self.reachable = True
+        self._host = worker_id
+        self._crash_ms = NEVER_MS
         self._oracle = oracle
         self._random = random.Random(seed)
         self._rate = self._random.choice([0.98, 0.99, 1.0])
         self.incarnation = 0
         self.start_incarnation(0)
 
-    def start_incarnation(self, now_ms: int) -> None:
-        """Restart without any runs or remembered state."""
+    def start_incarnation(
+        self, now_ms: int, worker_id: str | None = None
+    ) -> None:
+        """Restart without any runs or state, under another id if given."""
         self.incarnation += 1
+        self.worker_id = worker_id or self.worker_id
+        self._crash_ms = NEVER_MS
         self.up = True
         self._started_ms = now_ms
         self._token = 0
@@ -104,7 +118,7 @@
             address="10.0.0.1:80",
             pool="pool",
             failure_domain="centro",
-            host=self.worker_id,
+            host=self._host,
             labels=(),
             processors_millicores=4_000,
             memory_mb=8_000,
@@ -124,6 +138,11 @@
         """End the runs that are due, and all runs if the lease expired."""
         if not self.up:
             return
+        if now_ms >= self._crash_ms:
+            self.crash()
+            if self.on_crash is not None:
+                self.on_crash()
+            return
         lease_expired = self.clock(now_ms) >= self._lease_end_ms
         for task, running in list(self.running.items()):
             if lease_expired:
@@ -214,6 +233,9 @@
             order.run, now_ms + duration_ms, outcome
         )
         self._oracle.started(order.task, self.worker_id)
+        if order.task in self.deadly_tasks and self._crash_ms == NEVER_MS:
+            self._crash_ms = now_ms + CRASH_DELAY_MS
+            self._oracle.crashed(order.task)
         return OrderDone(clock_ms)
 
     def _extend(self, lease_end_ms: int, clock_ms: int) -> None:
--- a/testing/dispatch/oracle.py
+++ b/testing/dispatch/oracle.py
@@ -13,6 +13,12 @@
 FAILURES_MAX = 3
 """Limit of the simulated queue."""
 WORKER_MILLICORES = 4_000
+CRASHES_MIN = 2
+"""Workers that a task must have crashed before its job may fail."""
+CRASHES_MAX = 3
+"""Crashed workers from which on the starts of a task are counted."""
+STARTS_AFTER_CRASHES_MAX = 2
+"""Starts of a task that may follow `CRASHES_MAX` crashes."""
 
 
 class Oracle:
@@ -29,6 +35,10 @@
         self._failures: collections.Counter[str] = collections.Counter()
         self._failed_runs: dict[str, set[int]] = {}
         self._running: dict[str, set[str]] = {}
+        self.crashes: collections.Counter[str] = collections.Counter()
+        self._starts_after_crashes: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     def step_of(self, task: str) -> tuple[WorkflowSpec, StepSpec, int]:
         job_id, _, position, _ = task.split(".")
@@ -37,6 +47,14 @@
 
     def started(self, task: str, worker_id: str) -> None:
         self.starts += 1
+        if self.crashes[task] >= CRASHES_MAX:
+            self._starts_after_crashes[task] += 1
+            starts = self._starts_after_crashes[task]
+            if starts > STARTS_AFTER_CRASHES_MAX:
+                self._add_violation(
+                    f"{task} starts {starts} times more after "
+                    f"{CRASHES_MAX} workers crashed under it"
+                )
         for other, tasks in self._running.items():
             if task in tasks:
                 self._add_violation(f"{task} runs on {other} and {worker_id}")
@@ -78,6 +96,10 @@
         elif outcome == "failed":
             self._failed_runs.setdefault(task, set()).add(run)
 
+    def crashed(self, task: str) -> None:
+        """Count a worker that a task crashes."""
+        self.crashes[task] += 1
+
     def acknowledged(self, task: str, outcome: RunOutcome) -> None:
         if outcome == "done":
             self._acknowledged_tasks.add(task)
@@ -97,10 +119,18 @@
             ),
             default=0,
         )
-        if most < FAILURES_MAX:
+        most_crashes = max(
+            (
+                count
+                for task, count in self.crashes.items()
+                if task.split(".")[0] == job_id
+            ),
+            default=0,
+        )
+        if most < FAILURES_MAX and most_crashes < CRASHES_MIN:
             self._add_violation(
                 f"{job_id} is shown as failed after {most} failed runs of "
-                "a task"
+                f"a task and {most_crashes} crashes"
             )
 
     def worker_down(self, worker_id: str) -> None:
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -1,6 +1,7 @@
 """Simulation of a dispatcher, its log and workers in virtual time."""
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -62,11 +63,17 @@
     lost_acknowledgement : float
         Share of commands with ends after whose commit the leader is lost
         before it acknowledges them.
+    repeated_ends : float
+        Share of commands with ends whose ends are recorded again later.
+    lost_starter : float
+        Share of the crashes by a task at which the leader is lost too.
     """
 
     unanswered: float = 0.0
     late: float = 0.0
     lost_acknowledgement: float = 0.0
+    repeated_ends: float = 0.0
+    lost_starter: float = 0.0
 
 
 class Simulation:
@@ -80,6 +87,8 @@
         Whether an order is executed only by the process that was up when it
         was sent, as the connection ends with it. Otherwise a later process
         may execute it too.
+    restores_snapshots : bool
+        Whether each new leader starts from a restored snapshot.
     """
 
     def __init__(
@@ -96,6 +105,8 @@
         self.lapsed = False
         self.workers_check_incarnation = False
         self.connections_end_with_process = False
+        self.restores_snapshots = False
+        self.deadly_tasks: set[str] = set()
         self.workers = {
             f"w{number}": FakeWorker(
                 f"w{number}", self.oracle, self.random.getrandbits(32)
@@ -136,6 +147,10 @@
     def lead(self) -> None:
         """Start a new leader from the committed state."""
         self.term += 1
+        if self.restores_snapshots:
+            stored = self.machine.snapshot()
+            self.machine = ControlMachine()
+            self.machine.restore(stored)
         self.dispatcher = Dispatcher(
             self.machine,
             self.settings,
@@ -157,6 +172,35 @@
         self.serving = False
         self.at(downtime_ms, self.lead)
 
+    def make_deadly(self, downtime_ms: int, keep_id: bool) -> None:
+        """Let `deadly_tasks` crash each worker that starts them.
+
+        Parameters
+        ----------
+        downtime_ms : int
+            Time after which a crashed worker is back.
+        keep_id : bool
+            Whether it is back under its earlier id; it has the same host
+            in any case.
+        """
+
+        def handle_crash(worker: FakeWorker, host: str) -> None:
+            self.at(downtime_ms, lambda: start_again(worker, host))
+            if self.serving and self.random.random() < (
+                self.faults.lost_starter
+            ):
+                self.lose_leader(self.random.randint(50, 1_000))
+
+        def start_again(worker: FakeWorker, host: str) -> None:
+            worker_id = f"{host}-{worker.incarnation}"
+            worker.start_incarnation(
+                self.now_ms, None if keep_id else worker_id
+            )
+
+        for host, worker in self.workers.items():
+            worker.deadly_tasks = self.deadly_tasks
+            worker.on_crash = functools.partial(handle_crash, worker, host)
+
     def lapse_lease(self, duration_ms: int) -> None:
         """Let the leader's lease lapse and be renewed in the same term.
 
@@ -259,6 +303,7 @@
                     self._apply(body)
                 return
             result = self._apply(body)
+            self._repeat_ends(body)
             if self._loses_acknowledgement(body):
                 self.lose_leader(self.random.randint(50, 1_000))
                 return
@@ -267,6 +312,19 @@
 
         return commit
 
+    def _repeat_ends(self, body: CommandBody) -> None:
+        """Let another leader record the ends of a command again, late."""
+        if (
+            self.faults.repeated_ends
+            and isinstance(body, RecordRuns)
+            and body.ends
+            and self.random.random() < self.faults.repeated_ends
+        ):
+            repeated = RecordRuns(ends=body.ends)
+            self.at(
+                self.random.randint(50, 4_000), lambda: self._apply(repeated)
+            )
+
     def _loses_acknowledgement(self, body: CommandBody) -> bool:
         return (
             self.faults.lost_acknowledgement > 0
--- /dev/null
+++ b/testing/dispatch/test_deadly_tasks.py
@@ -0,0 +1,89 @@
+"""Simulated runs with tasks that crash each worker that starts them."""
+
+import random
+
+import pytest
+
+from sardinespool.messages.workflows import StepSpec
+from testing.dispatch.simulation import Simulation
+
+JOBS = 14
+DEADLY_JOBS = 3
+DOWNTIME_MS = 3_000
+SEEDS = range(4)
+"""Short run of CI; 50 seeds of each variant are run by hand."""
+
+
+def submit_jobs(
+    simulation: Simulation, seed: int
+) -> tuple[set[str], set[str]]:
+    """Submit jobs, a few per second; return the deadly and the other ones."""
+    rng = random.Random(seed)
+    deadly_jobs = set(rng.sample(range(JOBS), DEADLY_JOBS))
+    deadly: set[str] = set()
+    healthy: set[str] = set()
+    for number in range(JOBS):
+        name = f"job{number:02d}"
+        steps = tuple(
+            StepSpec(
+                count=rng.randint(1, 5),
+                processors_millicores=rng.choice([500, 1_000]),
+                memory_mb=100,
+                expected_run_ms=700,
+                after=(position - 1,) if position else (),
+            )
+            for position in range(rng.randint(1, 3))
+        )
+        (deadly if number in deadly_jobs else healthy).add(name)
+        if number in deadly_jobs:
+            position = rng.randrange(len(steps))
+            for index in range(rng.randint(1, 2)):
+                simulation.deadly_tasks.add(f"{name}.0.{position}.{index}")
+        while not simulation.serving:
+            simulation.run(100)
+        simulation.submit(name, *steps)
+        simulation.run(rng.randint(50, 600))
+    return deadly, healthy
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "variant",
+    ["new-id", "same-id", "starter-lost", "late", "repeated", "restored"],
+)
+def test_deadly_tasks_are_given_up_and_no_other_job_fails(
+    variant: str, seed: int
+) -> None:
+    """Guards against tasks that crash one worker after the other for good."""
+    simulation = Simulation(seed, workers=6)
+    simulation.make_deadly(DOWNTIME_MS, keep_id=variant == "same-id")
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+    match variant:
+        case "starter-lost":
+            simulation.faults.lost_starter = 0.5
+        case "late":
+            simulation.connections_end_with_process = True
+            simulation.faults.unanswered = 0.05
+            simulation.faults.late = 0.5
+        case "repeated":
+            simulation.faults.repeated_ends = 0.5
+            simulation.faults.lost_acknowledgement = 0.1
+        case "restored":
+            simulation.restores_snapshots = True
+            simulation.faults.lost_acknowledgement = 0.1
+    deadly, healthy = submit_jobs(simulation, seed)
+    for _ in range(60):
+        simulation.run(1_000)
+        if simulation.serving and all(
+            workflow.is_final
+            for workflow in simulation.machine.table.workflows.values()
+        ):
+            break
+    while not simulation.serving:
+        simulation.run(100)
+    states = {name: simulation.read_state(name) for name in deadly | healthy}
+    assert simulation.oracle.violations == []
+    assert {states[name] for name in healthy} == {"completed"}
+    assert {states[name] for name in deadly} == {"failed"}
+    assert simulation.oracle.crashes.total() > 0
