Send no start to a worker whose capacity has shrunk below what is reserved

A worker may report less capacity while it runs (rule LIMIT). Callers could see a worker run more than it said it had: starts that were planned or committed before the change were sent after it, and a start without an answer was sent again, also by the next leader, though the worker had never received the first order.

Cause: the reservation was checked when a task was placed, not when its order was built. Best-effort tasks were placed without regard to reserved processors, as theirs don't count.

Change: while more is reserved than the capacity, nothing is placed on the worker and no start is sent to it. Starts that were never sent are given up, the latest first, until the others fit; their end is "lost" and counts as no failure. A start without an answer is stopped once a list lacks it. The oracle checks each start against the capacity that the worker itself has reported, with the slack of the rule (3 s and a heartbeat interval); an order that is carried out late may rely on the capacity of the time at which it was sent. Fake workers list changing progress unless they hang, so that long runs aren't taken for stalled.

No fault was found in: starts beside runs above the shrunk capacity (processors, memory, accelerators, memory of best-effort tasks, capacity 0), starts during a stop, use of capacity that has grown again.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -317,6 +317,15 @@
                 self._control.end_run(
                     worker, run, "lost", run.stop_reason or "not on the worker"
                 )
+            elif (
+                worker.is_overcommitted
+                and run.key not in present
+                and run.phase is RunPhase.ORDERED
+                and run.sent
+                and not run.in_flight
+            ):
+                # Its start may still arrive, and can't be sent again.
+                self._control.stop_run(worker, run, "capacity shrank")
         if new_ends:
             self._control.defer_acknowledgement(worker)
         self._pace_controller.update_paces(worker, now)
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.end_queue import EndQueue
+from sardinespool.dispatch.excess_starts import give_up_excess_starts
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
@@ -290,6 +291,7 @@
         if self._proposed is not None:
             return self._proposed
         self._answers.expire_leases(now)
+        give_up_excess_starts(self.fleet, self)
         self._planner.vacate_draining_workers(now, self)
         self._planner.rebalancer.rebalance(now, self)
         ends = self._ends.take()
--- a/src/sardinespool/dispatch/order_queue.py
+++ b/src/sardinespool/dispatch/order_queue.py
@@ -167,6 +167,10 @@
             return PaceRun(
                 run.task_key, run.run, run.target_pace, self.fencing_token
             )
+        if worker.is_overcommitted:
+            # The worker may not have received an earlier order of the run.
+            run.retry_boot_ms = now.boot_ms + self._settings.retry_ms
+            return None
         lease_end_ms = self._next_lease_end_ms(worker, now)
         if run.task is None or lease_end_ms is None:
             return None
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -3,8 +3,10 @@
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_clock import WorkerClock
+from sardinespool.messages.worker_reports import capacity_of
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import StepSpec
+from sardinespool.observability.logs import get_logger
 
 RunKey = tuple[str, int]
 SERVING_LOAD_RATIO = 0.5
@@ -13,6 +15,8 @@
 Serving tasks are sized for their peak load, and their use is not measured.
 """
 
+_LOG = get_logger("dispatch")
+
 
 class WorkerState:
     """Resources, runs, lease and condition of one worker incarnation.
@@ -119,20 +123,32 @@
             - self.best_effort_millicores
         )
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether more is reserved than the capacity, which has shrunk."""
+        return (
+            self.free_millicores < 0
+            or self.free_memory_mb < 0
+            or self.free_accelerators < 0
+        )
+
     @property
     def worker_id(self) -> str:
         """Id of the worker."""
         return self.description.worker_id
 
     def fits(self, step: StepSpec) -> bool:
-        """Return whether the free resources suffice for a task of the step."""
+        """Return whether the free resources suffice for a task of the step.
+
+        No task fits on a worker with less capacity than is reserved.
+        """
+        reserved_millicores = (
+            0 if step.uses_leftover_processors else step.processors_millicores
+        )
         return (
             step.memory_mb <= self.free_memory_mb
             and step.accelerators <= self.free_accelerators
-            and (
-                step.uses_leftover_processors
-                or step.processors_millicores <= self.free_millicores
-            )
+            and reserved_millicores <= self.free_millicores
         )
 
     def add_run(self, run: RunState) -> None:
@@ -197,6 +213,18 @@
             description.accelerators - earlier.accelerators
         )
         self.description = description
+        if capacity_of(description) != capacity_of(earlier):
+            _LOG.info(
+                "worker capacity changed",
+                worker=self.worker_id,
+                millicores=description.processors_millicores,
+                memory_mb=description.memory_mb,
+                accelerators=description.accelerators,
+                runs=len(self.runs),
+                free_millicores=self.free_millicores,
+                free_memory_mb=self.free_memory_mb,
+                free_accelerators=self.free_accelerators,
+            )
 
     def _adjust_reservation(self, step: StepSpec, sign: int) -> None:
         self.free_memory_mb += sign * step.memory_mb
--- a/src/sardinespool/messages/worker_reports.py
+++ b/src/sardinespool/messages/worker_reports.py
@@ -34,6 +34,15 @@
     draining: bool = False
 
 
+def capacity_of(description: WorkerDescription) -> tuple[int, int, int]:
+    """Return processors in millicores, memory in MB, and accelerators."""
+    return (
+        description.processors_millicores,
+        description.memory_mb,
+        description.accelerators,
+    )
+
+
 def keep_draining(
     earlier: WorkerDescription, later: WorkerDescription
 ) -> WorkerDescription:
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -86,14 +86,35 @@
         self._random = random.Random(seed)
         self._rate = self._random.choice([0.98, 0.99, 1.0])
         self.incarnation = 0
+        self.set_capacity()
         self.start_incarnation(0)
 
+    def set_capacity(
+        self,
+        processors_millicores: int = 4_000,
+        memory_mb: int = 8_000,
+        accelerators: int = 0,
+    ) -> None:
+        """Change the capacity that the worker reports; nothing is ended."""
+        self.processors_millicores = processors_millicores
+        self.memory_mb = memory_mb
+        self.accelerators = accelerators
+        self._report_capacity()
+
+    def _report_capacity(self) -> None:
+        self._oracle.capacity_changed(
+            self.worker_id,
+            (self.processors_millicores, self.memory_mb, self.accelerators),
+        )
+
     def start_incarnation(
         self, now_ms: int, worker_id: str | None = None
     ) -> None:
         """Restart without any runs or state, under another id if given."""
         self.incarnation += 1
-        self.worker_id = worker_id or self.worker_id
+        if worker_id is not None:
+            self.worker_id = worker_id
+            self._report_capacity()
         self._crash_ms = NEVER_MS
         self.up = True
         self._started_ms = now_ms
@@ -121,9 +142,9 @@
             failure_domain="centro",
             host=self._host,
             labels=(),
-            processors_millicores=4_000,
-            memory_mb=8_000,
-            accelerators=0,
+            processors_millicores=self.processors_millicores,
+            memory_mb=self.memory_mb,
+            accelerators=self.accelerators,
             draining=draining,
         )
 
@@ -152,8 +173,10 @@
             elif now_ms >= running.ends_ms:
                 self._end(task, running.outcome)
 
-    def execute(self, order: Order, now_ms: int) -> OrderResult:
-        """Execute an order and return the answer."""
+    def execute(
+        self, order: Order, now_ms: int, sent_ms: int | None = None
+    ) -> OrderResult:
+        """Execute an order, sent at `sent_ms` if late; return the answer."""
         self.advance(now_ms)
         clock_ms = self.clock(now_ms)
         if order.fencing_token < self._token:
@@ -162,7 +185,7 @@
         self._token = order.fencing_token
         match order:
             case StartRun():
-                return self._start(order, now_ms)
+                return self._start(order, now_ms, sent_ms)
             case StopRun(task=task, run=run):
                 self._highest_runs[task] = max(
                     run, self._highest_runs.get(task, 0)
@@ -199,8 +222,9 @@
 
     def lists(self, now_ms: int) -> LeaseRenewed:
         """Return the running and the ended runs."""
+        percent = 50 if self.hanging else now_ms // 100 % 100
         running = tuple(
-            RunningRun(task, item.run, "", 50, None)
+            RunningRun(task, item.run, "", percent, None)
             for task, item in self.running.items()
         )
         return LeaseRenewed(
@@ -212,7 +236,9 @@
         """Whether a lease renewal returns at once."""
         return bool(self._ended)
 
-    def _start(self, order: StartRun, now_ms: int) -> OrderResult:
+    def _start(
+        self, order: StartRun, now_ms: int, sent_ms: int | None
+    ) -> OrderResult:
         clock_ms = self.clock(now_ms)
         running = self.running.get(order.task)
         if running is not None and running.run == order.run:
@@ -234,7 +260,7 @@
         self.running[order.task] = Running(
             order.run, now_ms + duration_ms, outcome
         )
-        self._oracle.started(order.task, self.worker_id)
+        self._oracle.started(order.task, self.worker_id, sent_ms)
         if order.task in self.deadly_tasks and self._crash_ms == NEVER_MS:
             self._crash_ms = now_ms + CRASH_DELAY_MS
             self._crash_cause = order.task
--- a/testing/dispatch/idle_oracle.py
+++ b/testing/dispatch/idle_oracle.py
@@ -57,8 +57,10 @@
             step = msgspec.structs.replace(step, processors_millicores=0)
         return spec, step, position
 
-    def started(self, task: str, worker_id: str) -> None:
-        super().started(task, worker_id)
+    def started(
+        self, task: str, worker_id: str, sent_ms: int | None = None
+    ) -> None:
+        super().started(task, worker_id, sent_ms)
         self._holders[task].add(worker_id)
 
     def ended(
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -69,6 +69,9 @@
         Share of commands with ends whose ends are recorded again later.
     lost_starter : float
         Share of the crashes by a task at which the leader is lost too.
+    lost_heartbeats, late_heartbeats : float
+        Shares of the heartbeats that never arrive, or that arrive after later
+        ones.
     """
 
     unanswered: float = 0.0
@@ -76,6 +79,8 @@
     lost_acknowledgement: float = 0.0
     repeated_ends: float = 0.0
     lost_starter: float = 0.0
+    lost_heartbeats: float = 0.0
+    late_heartbeats: float = 0.0
 
 
 class Simulation:
@@ -295,15 +300,29 @@
                     COMMIT_LATENCY_MS, self._make_commit(body, self.service)
                 )
 
-    def _send_heartbeat(self, worker: FakeWorker) -> None:
-        self.request(
-            ReportWorker(
-                description=worker.description(),
-                sequence=next(self._sequence),
-                clock_ms=worker.clock(self.now_ms),
-            )
+    def write_heartbeat(self, worker: FakeWorker) -> ReportWorker:
+        """Return the next heartbeat of a worker."""
+        return ReportWorker(
+            description=worker.description(),
+            sequence=next(self._sequence),
+            clock_ms=worker.clock(self.now_ms),
         )
 
+    def _send_heartbeat(self, worker: FakeWorker) -> None:
+        report = self.write_heartbeat(worker)
+        faults = self.faults
+        if faults.lost_heartbeats or faults.late_heartbeats:
+            drawn = self.random.random()
+            if drawn < faults.lost_heartbeats:
+                return
+            if drawn < faults.lost_heartbeats + faults.late_heartbeats:
+                self.at(
+                    self.random.randint(1_000, 9_000),
+                    lambda: self.request(report) if self.serving else None,
+                )
+                return
+        self.request(report)
+
     def _make_commit(
         self, body: CommandBody, service: ControlService
     ) -> Callable[[], None]:
@@ -438,6 +457,7 @@
                     order: object = order,
                     incarnation: int = incarnation,
                     process: int | None = process,
+                    sent_ms: int = self.now_ms,
                 ) -> None:
                     if (
                         worker.up
@@ -447,7 +467,7 @@
                             or not self.connections_end_with_process
                         )
                     ):
-                        worker.execute(order, self.now_ms)
+                        worker.execute(order, self.now_ms, sent_ms)
 
                 self.at(self.random.randint(2_000, 12_000), late)
             delay_ms, lost = self._no_answer(worker)
