Let capacity grow only by a recent heartbeat of its worker

Callers could see starts on capacity that a worker had reported as gone: a heartbeat that said the larger capacity and arrived seconds late restored it until the next one.

Cause: within a leadership heartbeats are ordered by their sequence number, but a new leader knows none; the log orders descriptions by incarnation only. And a larger capacity whose commit was under way replaced a smaller one that was reported after it. Ruled out: late heartbeats under the same leader (the sequence number), and through another member (followers forward to the leader; nothing is recorded there).

Change: capacity grows only by a heartbeat that is at most 2 s old by the worker's clock, once the worker has answered this leader; any other heartbeat can only shrink it, until the next recent one. The smaller of the committed and the last reported capacity counts. Weighed: the sequence number in the stored description; it misses a shrinkage that is equal to what is stored, unless each heartbeat is committed.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -118,9 +118,10 @@
                 return Proposal(request)
             case ReportWorker():
                 check_report(request, now)
-                if self._dispatcher.handle_heartbeat(request, now):
-                    return Proposal(PutWorker(description=request.description))
-                return ImmediateReply(Accepted())
+                description = self._dispatcher.handle_heartbeat(request, now)
+                if description is None:
+                    return ImmediateReply(Accepted())
+                return Proposal(PutWorker(description=description))
             case WorkerLeaves():
                 return self._remove_worker(request, now)
             case DumpState():
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -122,14 +122,16 @@
         self.orders.fencing_token = 0
         self.fleet.workers.clear()
 
-    def handle_heartbeat(self, report: ReportWorker, now: Instant) -> bool:
-        """Process a heartbeat; return whether it must be committed."""
-        needs_record = self.fleet.needs_record(report, now)
+    def handle_heartbeat(
+        self, report: ReportWorker, now: Instant
+    ) -> WorkerDescription | None:
+        """Process a heartbeat; return the description to commit, if any."""
+        description = self.fleet.description_to_record(report, now)
         worker_id = report.description.worker_id
         worker = self.fleet.workers.get(worker_id)
         if worker is not None and not worker.answered:
             self._wake(worker_id)
-        return needs_record
+        return description
 
     def has_left(
         self, worker_id: str, incarnation: int | None, now: Instant
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -11,6 +11,7 @@
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.worker_reports import keep_draining
+from sardinespool.messages.worker_reports import limit_capacity
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import RunOutcome
@@ -25,6 +26,10 @@
 """Longest delay of an acknowledged heartbeat; a worker that gets no answer in
 this time sends it to another member."""
 
+RECENT_REPORT_MS = 2_000
+"""Age up to which a heartbeat may raise the capacity of its worker. A later
+one may have been written before the capacity shrank."""
+
 _LOG = get_logger("fleet")
 
 EndRun = Callable[[WorkerState, RunState, RunOutcome, str], None]
@@ -147,8 +152,15 @@
             if worker.runs and host and incarnation_of(worker) < latest[host]:
                 self.crashes.worker_silent(worker, now)
 
-    def needs_record(self, report: ReportWorker, now: Instant) -> bool:
-        """Process a heartbeat; return whether it must be committed."""
+    def description_to_record(
+        self, report: ReportWorker, now: Instant
+    ) -> WorkerDescription | None:
+        """Process a heartbeat; return the description to commit, if any.
+
+        A new leader does not know which heartbeats its predecessor received.
+        So capacity grows only by a heartbeat that is recent by the worker's
+        clock, which is known once the worker has answered this leader.
+        """
         description = report.description
         if self._machine.has_departed(description):
             _LOG.info(
@@ -156,7 +168,7 @@
                 worker=description.worker_id,
                 life=description.incarnation,
             )
-            return False
+            return None
         recorded = self._machine.workers.get(description.worker_id)
         if (
             recorded is not None
@@ -168,7 +180,7 @@
                 life=description.incarnation,
                 known_life=recorded.incarnation,
             )
-            return False
+            return None
         worker = self.workers.get(description.worker_id)
         if worker is not None and description.incarnation == incarnation_of(
             worker
@@ -178,19 +190,25 @@
                 and now.boot_ms - worker.sequence_boot_ms
                 < self._settings.late_order_ms
             ):
-                return False
+                return None
             # A lower number after that time is no late report: the higher
             # one was not the worker's.
             worker.sequence = report.sequence
             worker.sequence_boot_ms = now.boot_ms
             if description.draining:
                 worker.leaves_boot_ms = now.boot_ms + report.remaining_ms
+            age_ms = worker.clock.lower_bound(now.boot_ms) - report.clock_ms
+            if not worker.answered or age_ms > RECENT_REPORT_MS:
+                description = limit_capacity(description, worker.description)
+            worker.apply_report(description)
         self.heartbeat_boot_ms[description.worker_id] = now.boot_ms
         if recorded is not None:
             description = keep_draining(recorded, description)
         # A worker that was dropped because of another one that claimed its
         # host or address is recorded still.
-        return description != recorded or worker is None
+        if description == recorded and worker is not None:
+            return None
+        return description
 
     def has_left(
         self, worker_id: str, incarnation: int | None, now: Instant
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -4,6 +4,7 @@
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_clock import WorkerClock
 from sardinespool.messages.worker_reports import capacity_of
+from sardinespool.messages.worker_reports import limit_capacity
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.observability.logs import get_logger
@@ -23,6 +24,9 @@
 
     Attributes
     ----------
+    description : WorkerDescription
+        The committed description, with the capacity that the worker has
+        reported since if it is smaller.
     pending : dict of RunKey to RunState
         Runs for which an order may be outstanding.
     unanswered_starts : dict of RunKey to (int, RunState)
@@ -81,6 +85,8 @@
         unknown_lease_end_boot_ms: int,
     ) -> None:
         self.description = description
+        self._recorded = description
+        self._reported: WorkerDescription | None = None
         self.clock = WorkerClock(settings.clock_rate_min)
         self.unknown_lease_end_boot_ms = unknown_lease_end_boot_ms
         self.free_millicores = description.processors_millicores
@@ -203,7 +209,19 @@
         )
 
     def update_description(self, description: WorkerDescription) -> None:
-        """Apply a changed description of the same incarnation."""
+        """Apply a committed description of the same incarnation."""
+        self._recorded = description
+        self._apply_capacity()
+
+    def apply_report(self, description: WorkerDescription) -> None:
+        """Apply a smaller reported capacity before it is committed."""
+        self._reported = description
+        self._apply_capacity()
+
+    def _apply_capacity(self) -> None:
+        description = self._recorded
+        if self._reported is not None:
+            description = limit_capacity(description, self._reported)
         earlier = self.description
         self.free_millicores += (
             description.processors_millicores - earlier.processors_millicores
--- a/src/sardinespool/messages/worker_reports.py
+++ b/src/sardinespool/messages/worker_reports.py
@@ -43,6 +43,20 @@
     )
 
 
+def limit_capacity(
+    description: WorkerDescription, limit: WorkerDescription
+) -> WorkerDescription:
+    """Return `description` with no more of any resource than `limit` has."""
+    return msgspec.structs.replace(
+        description,
+        processors_millicores=min(
+            description.processors_millicores, limit.processors_millicores
+        ),
+        memory_mb=min(description.memory_mb, limit.memory_mb),
+        accelerators=min(description.accelerators, limit.accelerators),
+    )
+
+
 def keep_draining(
     earlier: WorkerDescription, later: WorkerDescription
 ) -> WorkerDescription:
--- a/testing/dispatch/test_changing_capacity.py
+++ b/testing/dispatch/test_changing_capacity.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.messages.worker_reports import PutWorker
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.fake_worker import NEVER_MS
@@ -235,6 +236,83 @@
     assert not worker.fits(spec)
 
 
+@pytest.mark.parametrize("changes_leader", [False, True])
+@pytest.mark.parametrize("written_ms", [2_600, 8_100])
+def test_late_heartbeat_does_not_restore_the_larger_capacity(
+    changes_leader: bool, written_ms: int
+) -> None:
+    """Guards against starts on capacity that a worker no longer has.
+
+    A new leader does not know the sequence numbers of earlier heartbeats.
+    """
+    simulation = one_worker()
+    worker = simulation.workers["w0"]
+    late = report(simulation)
+    worker.set_capacity(processors_millicores=1_000)
+    simulation.run(written_ms)
+    simulation.request(report(simulation))
+    if changes_leader:
+        simulation.lose_leader(50)
+        simulation.run(60)
+    simulation.request(late)
+    state = simulation.dispatcher.fleet.workers["w0"]
+    assert simulation.machine.workers["w0"].processors_millicores == 1_000
+    assert state.description.processors_millicores == 1_000
+    if changes_leader:
+        # Heartbeats that the earlier leader received may arrive again.
+        simulation.run(100)
+        simulation.request(
+            msgspec.structs.replace(late, sequence=late.sequence + 1)
+        )
+    assert simulation.machine.workers["w0"].processors_millicores == 1_000
+    assert state.description.processors_millicores == 1_000
+
+
+@pytest.mark.parametrize("changes_leader", [False, True])
+def test_late_heartbeat_does_not_shrink_the_capacity_for_good(
+    changes_leader: bool,
+) -> None:
+    """Guards against capacity that is never used again."""
+    simulation = one_worker()
+    worker = simulation.workers["w0"]
+    worker.set_capacity(processors_millicores=1_000)
+    late = report(simulation)
+    simulation.run(HEARTBEAT_INTERVAL_MS)
+    worker.set_capacity()
+    simulation.run(5_000)
+    if changes_leader:
+        simulation.lose_leader(50)
+        simulation.run(60)
+    simulation.request(late)
+    for _ in range(2):
+        simulation.run(HEARTBEAT_INTERVAL_MS)
+        simulation.request(report(simulation))
+    assert simulation.machine.workers["w0"].processors_millicores == 4_000
+    simulation.submit("job", tasks(4))
+    simulation.run(500)
+    assert len(worker.running) == 4
+
+
+def test_shrunk_capacity_holds_while_a_larger_one_is_being_committed() -> None:
+    """Guards against a commit that undoes what was reported after it."""
+    simulation = one_worker()
+    worker = simulation.workers["w0"]
+    worker.set_capacity(processors_millicores=1_000)
+    simulation.run(HEARTBEAT_INTERVAL_MS)
+    worker.set_capacity()
+    proposed = report(simulation)
+    assert simulation.dispatcher.handle_heartbeat(proposed, simulation.now())
+    worker.set_capacity(processors_millicores=1_000)
+    simulation.request(report(simulation))
+    command = PutWorker(description=proposed.description)
+    simulation.service.on_applied(
+        command, simulation._apply(command), simulation.now()
+    )
+    simulation.submit("job", tasks(4))
+    simulation.run(500)
+    assert len(worker.running) == 1
+
+
 def run_with_changing_capacities(seed: int) -> None:
     """Change capacities, leaders and the order of heartbeats, then settle."""
     simulation = Simulation(seed)
@@ -273,7 +351,8 @@
     run_until_settled(simulation, names)
 
 
-@pytest.mark.parametrize("seed", range(4))
+# Seeds 11 and 13 broke the rule by heartbeats after a change of leader.
+@pytest.mark.parametrize("seed", [0, 1, 11, 13])
 def test_changing_capacities_break_no_rule(seed: int) -> None:
     """Guards against starts beyond the capacity that a worker reports."""
     run_with_changing_capacities(seed)
