Keep the learned interference of best-effort tasks when a capacity shrinks

Callers could see serving tasks over their target latency on any worker after one worker's capacity had shrunk beside running best-effort tasks.

Cause: the use of best-effort tasks was measured as a share of the present capacity. On a worker that had shrunk the same tasks counted as many times their share, so the model took their image for harmless; with capacity 0 the share was a division by 1.

Change: shares refer to the largest capacity that this leader knows of the worker. The capacity itself still bounds what is placed. Assumed: a run interferes as before when the capacity that the worker offers shrinks.

Open: a leader that takes over while the capacity is small knows only that one, until it grows.

--- a/src/sardinespool/dispatch/best_effort.py
+++ b/src/sardinespool/dispatch/best_effort.py
@@ -85,7 +85,6 @@
             Whether the task has waited for so long that it starts wherever
             processors are left, even if it will be throttled there.
         """
-        capacity_millicores = max(1, worker.description.processors_millicores)
         task_millicores = max(1, spec.processors_millicores)
         available_share = min(
             1.0, worker.leftover_millicores / task_millicores
@@ -94,7 +93,7 @@
             STARVED_START_SPEED_MIN if starved else START_SPEED_MIN
         ):
             return None
-        share = task_millicores / capacity_millicores
+        share = task_millicores / worker.whole_millicores
         speed_forecast = [1.0] * len(FORECAST_OFFSETS_MS)
         contention = 0.0
         worst_cost = 0.0
--- a/src/sardinespool/dispatch/pace_controller.py
+++ b/src/sardinespool/dispatch/pace_controller.py
@@ -168,8 +168,7 @@
         step = run.step
         if step is None:
             return False
-        capacity_millicores = max(1, worker.description.processors_millicores)
-        share = _full_pace_millicores(run, now) / capacity_millicores
+        share = _full_pace_millicores(run, now) / worker.whole_millicores
         costs: dict[str, float] = {}
         pace = FULL_PACE
         limiting_image = ""
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -85,6 +85,7 @@
         unknown_lease_end_boot_ms: int,
     ) -> None:
         self.description = description
+        self._processors_max_millicores = description.processors_millicores
         self._recorded = description
         self._reported: WorkerDescription | None = None
         self.clock = WorkerClock(settings.clock_rate_min)
@@ -120,6 +121,15 @@
         self.best_effort_use: dict[str, float] = {}
         self.pace_changed_boot_ms = 0
 
+    @property
+    def whole_millicores(self) -> int:
+        """Processors to which shares of the worker refer, at least 1.
+
+        This is the largest capacity known to this leader: a run interferes as
+        before when the capacity shrinks.
+        """
+        return max(1, self._processors_max_millicores)
+
     @property
     def leftover_millicores(self) -> int:
         """Processors that further best-effort tasks can expect to find."""
@@ -179,13 +189,13 @@
 
     def measure_best_effort_use(self) -> None:
         """Recompute the best-effort use from the last list."""
-        capacity_millicores = max(1, self.description.processors_millicores)
         self.best_effort_use = {}
         for run in self.runs.values():
             step = run.step
             if step is not None and step.spec.uses_leftover_processors:
                 self._add_best_effort_use(
-                    step.spec.image, run.used_millicores / capacity_millicores
+                    step.spec.image,
+                    run.used_millicores / self.whole_millicores,
                 )
 
     def declared_best_effort_use(self) -> dict[str, float]:
@@ -194,12 +204,11 @@
         Throttled runs count in full, as they are meant to return to full
         pace.
         """
-        capacity_millicores = max(1, self.description.processors_millicores)
         use: dict[str, float] = {}
         for run in self.runs.values():
             step = run.step
             if step is not None and step.spec.uses_leftover_processors:
-                share = step.spec.processors_millicores / capacity_millicores
+                share = step.spec.processors_millicores / self.whole_millicores
                 use[step.spec.image] = use.get(step.spec.image, 0.0) + share
         return use
 
@@ -231,6 +240,9 @@
             description.accelerators - earlier.accelerators
         )
         self.description = description
+        self._processors_max_millicores = max(
+            self._processors_max_millicores, description.processors_millicores
+        )
         if capacity_of(description) != capacity_of(earlier):
             _LOG.info(
                 "worker capacity changed",
@@ -249,13 +261,10 @@
         self.free_accelerators += sign * step.accelerators
         if step.uses_leftover_processors:
             self.best_effort_millicores -= sign * step.processors_millicores
-            capacity_millicores = max(
-                1, self.description.processors_millicores
-            )
             if sign < 0:
                 self._add_best_effort_use(
                     step.image,
-                    step.processors_millicores / capacity_millicores,
+                    step.processors_millicores / self.whole_millicores,
                 )
             return
         self.free_millicores += sign * step.processors_millicores
--- a/testing/dispatch/test_pace_controller.py
+++ b/testing/dispatch/test_pace_controller.py
@@ -1,5 +1,6 @@
 """Pace of best-effort tasks on one worker."""
 
+import msgspec
 import pytest
 
 from sardinespool.clock import Instant
@@ -75,3 +76,33 @@
     run.load = 0
     PaceController(model).update_paces(worker, NOW)
     assert run.target_pace == 100
+
+
+@pytest.mark.parametrize("capacity_millicores", [0, 6_400, 16_000])
+def test_shrunk_capacity_leaves_the_learned_interference(
+    capacity_millicores: int,
+) -> None:
+    """Guards against estimates that are spoilt while a capacity is small.
+
+    What runs above the capacity goes on, and disturbs as before.
+    """
+    model = trained_model({("web", "heavy"): INTERFERENCE})
+    learned = model.interference("web", "heavy")
+    worker = make_worker("w", 64_000)
+    serving_run = add_running(worker, serving("web"), "s")
+    run = add_running(worker, best_effort("heavy"), "f")
+    run.load = 6_400
+    use = run.load / 64_000
+    headroom = STANDALONE_HEADROOM - INTERFERENCE * use
+    serving_run.load = round(TARGET_MS / headroom)
+    worker.update_description(
+        msgspec.structs.replace(
+            worker.description, processors_millicores=capacity_millicores
+        )
+    )
+    controller = PaceController(model)
+    for number in range(20):
+        controller.update_paces(worker, NOW.after(500 * number))
+    assert model.interference("web", "heavy") == pytest.approx(
+        learned, rel=0.1
+    )
