Test scores and shares of workers with less capacity than is reserved

No fault was found: such a worker is no candidate for any kind of task, also as the last resort, and the reserved share of a fleet that has shrunk is at least 1. With the free resources checked first, no score or count of free slots sees a negative number.

--- a/testing/dispatch/test_changing_capacity.py
+++ b/testing/dispatch/test_changing_capacity.py
@@ -5,7 +5,12 @@
 import msgspec
 import pytest
 
+from sardinespool.dispatch.best_effort import BestEffortScorer
 from sardinespool.dispatch.orders import NoAnswer
+from sardinespool.dispatch.placer import Placer
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.messages.worker_reports import PutWorker
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.workflows import StepSpec
@@ -15,6 +20,7 @@
 from testing.dispatch.simulation import Simulation
 from testing.dispatch.support import add_running
 from testing.dispatch.support import best_effort
+from testing.dispatch.support import make_step
 from testing.dispatch.support import make_worker
 from testing.dispatch.support import serving
 from testing.dispatch.test_faults import run_until_settled
@@ -411,3 +417,53 @@
     simulation.run(1_000)
     assert list(simulation.workers[other].running) == ["job.0.0.0"]
     assert simulation.oracle.starts == 1
+
+
+@pytest.mark.parametrize("capacity_millicores", [0, 4_000])
+@pytest.mark.parametrize(
+    "spec",
+    [
+        StepSpec(count=1, processors_millicores=0, memory_mb=100),
+        StepSpec(count=1, processors_millicores=1_000),
+        StepSpec(count=1, processors_millicores=1_000, long_running=True),
+        serving("image", 1_000),
+        best_effort("other", 1_000),
+    ],
+)
+def test_overcommitted_worker_is_no_candidate(
+    spec: StepSpec, capacity_millicores: int
+) -> None:
+    """Guards against scores that negative free resources distort."""
+    shrunk, other = make_worker("w0", 8_000), make_worker("w1", 16_000)
+    add_running(shrunk, serving("image", 8_000), "job")
+    shrunk.update_description(
+        msgspec.structs.replace(
+            shrunk.description, processors_millicores=capacity_millicores
+        )
+    )
+    assert shrunk.free_millicores == capacity_millicores - 8_000
+    scorer = BestEffortScorer(TailModel())
+    step = make_step(msgspec.structs.replace(spec, count=3), "other")
+    for last_resort in (False, True):
+        placer = Placer([shrunk, other], scorer, [shrunk])
+        workers = placer.workers_for(step, last_resort, set(), last_resort)
+        for task in step.tasks:
+            worker = next(workers, None)
+            assert worker is not shrunk
+            if worker is not None:
+                worker.add_run(
+                    RunState(task.key, 1, task, RunPhase.ORDERED, 0)
+                )
+        assert other.runs
+
+
+def test_reserved_share_counts_runs_above_the_capacity() -> None:
+    """Guards against a fleet that is taken for empty when it has shrunk."""
+    simulation = one_worker()
+    fleet = simulation.dispatcher.fleet
+    simulation.submit("job", tasks(3))
+    simulation.run(500)
+    for capacity_millicores, share in ((4_000, 0.75), (2_000, 1.5), (0, 1.0)):
+        simulation.workers["w0"].set_capacity(capacity_millicores)
+        simulation.run(HEARTBEAT_INTERVAL_MS)
+        assert fleet.reserved_share() == share
