Age a heartbeat by its arrival as well as by the worker's clock

Callers could see a start on a worker that had been idle and whose heartbeats then stopped arriving: after 200 s without runs, for 3.9 s longer than the 3.5 s meant.

Cause: the worker's clock is read from its answers only, so its lower bound lags by 2% of the time since the last one, and an idle worker isn't called.

Change: the last heartbeat must also have arrived less than 3.5 s ago.

Evidence: test_heartbeat_ages_though_an_idle_worker_is_not_called fails without the change to src/.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -397,10 +397,13 @@
         incarnation, clock_ms = self._report_clock_ms.get(
             worker.worker_id, (-1, 0)
         )
+        # The lower bound lags while a worker without runs isn't called.
         return (
             incarnation == incarnation_of(worker)
             and worker.clock.lower_bound(now.boot_ms) - clock_ms
             < CONTACT_TIMEOUT_MS
+            and now.boot_ms - self.heartbeat_boot_ms[worker.worker_id]
+            < CONTACT_TIMEOUT_MS
         )
 
     def may_send_start(self, worker: WorkerState, now: Instant) -> bool:
--- a/testing/dispatch/test_changing_capacity.py
+++ b/testing/dispatch/test_changing_capacity.py
@@ -11,6 +11,7 @@
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.tail_model import TailModel
+from sardinespool.dispatch.worker_clock import WorkerClock
 from sardinespool.messages.worker_reports import PutWorker
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.workflows import StepSpec
@@ -487,3 +488,21 @@
         simulation.workers["w0"].set_capacity(capacity_millicores)
         simulation.run(HEARTBEAT_INTERVAL_MS)
         assert fleet.reserved_share() == share
+
+
+def test_heartbeat_ages_though_an_idle_worker_is_not_called() -> None:
+    """Guards against starts on a worker that was idle, and silent since.
+
+    The bound of its clock lags by 2% of the time since its last answer.
+    """
+    simulation = one_worker()
+    fleet = simulation.dispatcher.fleet
+    state = fleet.workers["w0"]
+    now = simulation.now()
+    state.clock = WorkerClock(0.98)
+    state.clock.read(
+        simulation.workers["w0"].clock(simulation.now_ms) - 200_000,
+        now.boot_ms - 200_000,
+    )
+    assert fleet.has_recent_report(state, now)
+    assert not fleet.has_recent_report(state, now.after(CAPACITY_SLACK_MS))
