Derive the age of a usable heartbeat from the settings

Callers could see a service that places nothing where workers send a heartbeat every 3.5 s or less often: the last heartbeat was always too old, since that age was fixed.

Change: the age is the contact time and one interval, both from the settings, less the second that a heartbeat may be late.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -18,10 +18,6 @@
 from sardinespool.observability.logs import get_logger
 from sardinespool.workflows.records import TaskRecord
 
-CONTACT_TIMEOUT_MS = 3_500
-"""Time after the last contact until a worker counts as silent; covers two
-heartbeat intervals."""
-
 REPORT_DELAY_MS = 1_000
 """Longest delay of an acknowledged heartbeat; a worker that gets no answer in
 this time sends it to another member."""
@@ -384,7 +380,6 @@
             and description.failure_domain not in self._machine.evacuated
             and description.pool not in self._machine.manifest.spare_pools
             and now.boot_ms >= worker.avoid_until_boot_ms
-            and self.was_heard_recently(worker, now)
             and self.has_recent_report(worker, now)
         )
 
@@ -397,13 +392,13 @@
         incarnation, clock_ms = self._report_clock_ms.get(
             worker.worker_id, (-1, 0)
         )
+        age_max_ms = self._settings.heartbeat_age_max_ms
         # The lower bound lags while a worker without runs isn't called.
         return (
             incarnation == incarnation_of(worker)
-            and worker.clock.lower_bound(now.boot_ms) - clock_ms
-            < CONTACT_TIMEOUT_MS
+            and worker.clock.lower_bound(now.boot_ms) - clock_ms < age_max_ms
             and now.boot_ms - self.heartbeat_boot_ms[worker.worker_id]
-            < CONTACT_TIMEOUT_MS
+            < age_max_ms
         )
 
     def may_send_start(self, worker: WorkerState, now: Instant) -> bool:
@@ -415,18 +410,26 @@
     def gives_up_starts(self, worker: WorkerState, now: Instant) -> bool:
         """Return whether starts that have not begun must not wait here.
 
-        The workers of a new leader have until `CONTACT_TIMEOUT_MS` to report.
+        The workers of a new leader have `heartbeat_age_max_ms` to report.
         """
         silent_ms = now.boot_ms - self.heartbeat_boot_ms.get(
             worker.worker_id, now.boot_ms
         )
-        return worker.is_overcommitted or silent_ms >= CONTACT_TIMEOUT_MS
+        return (
+            worker.is_overcommitted
+            or silent_ms >= self._settings.heartbeat_age_max_ms
+        )
 
     def was_heard_recently(self, worker: WorkerState, now: Instant) -> bool:
         """Return whether a heartbeat or answer arrived recently."""
+        last_boot_ms = max(
+            worker.last_answer_boot_ms,
+            self.heartbeat_boot_ms.get(worker.worker_id, -1),
+        )
         return (
-            now.boot_ms - self._last_contact_boot_ms(worker)
-            < CONTACT_TIMEOUT_MS
+            last_boot_ms >= 0
+            and now.boot_ms - last_boot_ms
+            < self._settings.heartbeat_age_max_ms
         )
 
     def task_of(self, key: str) -> TaskRecord | None:
@@ -445,12 +448,6 @@
             else 1.0
         )
 
-    def _last_contact_boot_ms(self, worker: WorkerState) -> int:
-        return max(
-            worker.last_answer_boot_ms,
-            self.heartbeat_boot_ms.get(worker.worker_id, -CONTACT_TIMEOUT_MS),
-        )
-
 
 def incarnation_of(worker: WorkerState) -> int:
     """Return the incarnation of a worker, its start time."""
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -34,6 +34,10 @@
         ended.
     late_order_ms : int
         Longest delay after which an unanswered order may still take effect.
+    heartbeat_age_max_ms : int
+        Age of a worker's last heartbeat from which no task starts on it. The
+        capacity that a heartbeat reports counts for the contact time and one
+        interval; the heartbeat itself may be a second late.
     finished_job_retention_ms : int
         Retention time of the state of an ended job.
     """
@@ -47,4 +51,5 @@
     clock_rate_min: float = 0.98
     lease_margin_ms: int = 100
     late_order_ms: int = 12_000
+    heartbeat_age_max_ms: int = 3_500
     finished_job_retention_ms: int = 120_000
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 import yaml
 
+from sardinespool.dispatch.fleet import REPORT_DELAY_MS
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.errors.settings import SettingsError
 from sardinespool.settings.addresses import split_address
@@ -18,6 +19,8 @@
 """Retention of ended jobs if the settings have no ``status_s``."""
 DEFAULT_GRACE_S = 6
 """Time from SIGTERM to SIGKILL if the settings have no ``grace_s``."""
+DEFAULT_CONTACT_MS = 3_000
+"""Contact time if the settings have no ``contact_ms``."""
 CLOCK_JUMP_MARGIN_MS = 30_000
 """Added to the retention of ended jobs, as the wall clock may jump ahead."""
 STATUS_PORT = 9464
@@ -44,6 +47,8 @@
         Control addresses of up to three core machines; may be out of date.
     first_start : bool
         Whether the cluster starts for the first time, with empty disks.
+    heartbeat_interval_ms : int
+        Interval of the workers' heartbeats.
     bounds : dict
         Limits that the platform enforces, by the platform's names.
     """
@@ -59,6 +64,9 @@
     data_folder: str | None = msgspec.field(
         name="data_directory", default=None
     )
+    heartbeat_interval_ms: int = msgspec.field(
+        name="heartbeat_ms", default=1_500
+    )
     bounds: dict[str, float | bool] = {}
 
     @property
@@ -75,6 +83,7 @@
         job_retention_s = int(
             self.bounds.get("status_s", DEFAULT_JOB_RETENTION_S)
         )
+        contact_ms = int(self.bounds.get("contact_ms", DEFAULT_CONTACT_MS))
         lease_ms = lease_limit_ms * 2 // 3
         return DispatchSettings(
             # Two thirds of the longest lease: a shorter lease would expire
@@ -83,6 +92,9 @@
             lease_ms=lease_ms,
             lease_limit_ms=lease_limit_ms,
             renewal_wait_ms=min(1_000, lease_ms // 4),
+            heartbeat_age_max_ms=contact_ms
+            + self.heartbeat_interval_ms
+            - REPORT_DELAY_MS,
             finished_job_retention_ms=job_retention_s * 1_000
             + CLOCK_JUMP_MARGIN_MS,
         )
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -49,6 +49,34 @@
     assert dispatch.finished_job_retention_ms == 90_000
 
 
+@pytest.mark.parametrize(
+    ("heartbeat_ms", "contact_ms", "age_max_ms"),
+    [
+        (None, None, 3_500),
+        (1_500, 3_000, 3_500),
+        (1_500, 5_000, 5_500),
+        (6_000, 3_000, 8_000),
+    ],
+)
+def test_age_of_heartbeats_follows_their_interval(
+    tmp_path: pathlib.Path,
+    heartbeat_ms: int | None,
+    contact_ms: int | None,
+    age_max_ms: int,
+) -> None:
+    """Guards against workers with a long interval that get no starts."""
+    text = SETTINGS_YAML
+    if heartbeat_ms is not None:
+        text += f"heartbeat_ms: {heartbeat_ms}\n"
+        text = text.replace(
+            "bounds:\n", f"bounds:\n  contact_ms: {contact_ms}\n"
+        )
+    path = tmp_path / "local.yaml"
+    path.write_text(text)
+    dispatch = load_platform_settings(path).dispatch
+    assert dispatch.heartbeat_age_max_ms == age_max_ms
+
+
 @pytest.mark.parametrize(
     "content",
     [
