Share the short traceback of log lines, and name things by their usual terms

The number of logged frames stood in three modules. Names and comments of the change only otherwise; no behaviour changes.

--- a/src/sardinespool/platform/fault_barrier.py
+++ b/src/sardinespool/platform/fault_barrier.py
@@ -1,27 +1,23 @@
 """Confines an unexpected error to the HTTP request that raised it."""
 
-import traceback
-
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.observability.logs import PrefixLogger
+from sardinespool.observability.tracebacks import format_current_exception
 from sardinespool.platform.responses import error_response
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_server import Handler
 from sardinespool.transport.http_server import ReceivedRequest
 
-TRACEBACK_FRAMES_MAX = 3
-"""Number of innermost frames of a logged traceback."""
-
 
 class FaultBarrier:
-    """Handler that answers a request also if another handler raises.
+    """Handler that answers a request even if the wrapped handler raises.
 
     Without an answer, the client would wait for its whole timeout.
 
     Parameters
     ----------
     handler : Handler
-        Handles the requests.
+        The wrapped handler.
     log : PrefixLogger
         Logger of the process.
     """
@@ -39,7 +35,7 @@
                 "unexpected error",
                 method=received.request.method,
                 path=received.request.target,
-                fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+                fault=format_current_exception(),
             )
             return error_response(
                 ProposalLostError("An unexpected error ended the request.")
--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -1,7 +1,6 @@
 """Process that runs on a front machine."""
 
 import asyncio
-import traceback
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.messages.codec import Reply
@@ -11,10 +10,10 @@
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
 from sardinespool.observability.status_server import StatusServer
+from sardinespool.observability.tracebacks import format_current_exception
 from sardinespool.platform.caller_handler import CallerHandler
 from sardinespool.platform.caller_handler import CallerMetrics
 from sardinespool.platform.fault_barrier import FaultBarrier
-from sardinespool.platform.fault_barrier import TRACEBACK_FRAMES_MAX
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.programs.controller.control_member import (
@@ -157,11 +156,11 @@
                 last_error_code = error.code
                 has_manifest = False
             except Exception:
-                # The process must go on: it still has calls to answer.
+                # The calls in progress must not end with the probe.
                 _LOG.error(
                     "unexpected error",
                     during="probe",
-                    fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+                    fault=format_current_exception(),
                 )
                 has_manifest = False
             else:
--- a/src/sardinespool/platform/integers.py
+++ b/src/sardinespool/platform/integers.py
@@ -20,10 +20,10 @@
 """Number, size or time, which is never negative."""
 
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=_TIME_MAX_MS)]
-"""Reading of a clock."""
+"""Reading of a clock, in milliseconds."""
 
 Measurement = (
     Annotated[int, msgspec.Meta(ge=-_INTEGER_MAX, le=_INTEGER_MAX)]
     | Annotated[float, msgspec.Meta(ge=-_INTEGER_MAX, le=_INTEGER_MAX)]
 )
-"""Number that may have decimals."""
+"""Measured quantity, with or without decimals."""
--- a/src/sardinespool/platform/worker_client.py
+++ b/src/sardinespool/platform/worker_client.py
@@ -107,7 +107,11 @@
             worker.worker_id, connection_index, worker.address
         )
         if isinstance(connection, ExchangeNotSent):
-            return NoAnswer(False, connection.reason, connection.peer_closed)
+            return NoAnswer(
+                sent=False,
+                reason=connection.reason,
+                closed=connection.peer_closed,
+            )
         return connection if may_send() else Withheld()
 
 
@@ -147,9 +151,11 @@
         case ExchangeAnswered(response=response):
             return response
         case ExchangeNotSent(reason=reason, peer_closed=peer_closed):
-            return NoAnswer(False, reason, peer_closed)
+            return NoAnswer(sent=False, reason=reason, closed=peer_closed)
         case _:
-            return NoAnswer(True, result.reason, result.peer_closed)
+            return NoAnswer(
+                sent=True, reason=result.reason, closed=result.peer_closed
+            )
 
 
 def _decode_renewal(
--- a/src/sardinespool/programs/controller/worker_senders.py
+++ b/src/sardinespool/programs/controller/worker_senders.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import traceback
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -15,6 +14,7 @@
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.observability.logs import get_logger
+from sardinespool.observability.tracebacks import format_current_exception
 from sardinespool.programs.controller.worker_caller import WorkerCaller
 from sardinespool.transport import system_clock
 
@@ -23,8 +23,6 @@
 ERROR_RETRY_DELAY_MS = 200
 """Limits the log rate of a repeated error; with four attempts a second, leases
 are still extended well before they expire."""
-TRACEBACK_FRAMES_MAX = 3
-"""Number of innermost frames of a logged traceback."""
 
 _LOG = get_logger("controller")
 
@@ -111,8 +109,8 @@
     ) -> Answer | NoAnswer:
         """Return the answer to a call, also if the call raises.
 
-        Without a result, the order would stay in flight for good, and the
-        worker would seem to answer lease renewals that fail.
+        Without a result, the order would stay in flight forever, and the
+        worker would count as answering although its renewals fail.
         """
         try:
             return await call
@@ -124,7 +122,7 @@
         _LOG.error(
             event,
             worker=self._worker_id,
-            fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+            fault=format_current_exception(),
         )
 
     async def _send_holds(self) -> None:
@@ -170,9 +168,8 @@
     ) -> int:
         """Return the time after which a renewal counts as unanswered.
 
-        A worker that does not answer is asked without a wait. It gets the
-        time of a long poll all the same, as a slow one would lose its lease
-        although it answers.
+        A renewal of a silent worker is not a long poll, but has the timeout
+        of one: a slow worker that answers must not lose its lease.
         """
         wait_ms = renewal.wait_ms
         if worker.reconciled and not worker.answered:
--- a/src/sardinespool/programs/store/fault_barrier.py
+++ b/src/sardinespool/programs/store/fault_barrier.py
@@ -3,8 +3,6 @@
 Without that, one request would end the process, and its resends all others.
 """
 
-import traceback
-
 from sardinespool.clock import Instant
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.transport import InvalidMessageError
@@ -18,9 +16,7 @@
 from sardinespool.messages.codec import Request
 from sardinespool.messages.commands import Command
 from sardinespool.observability.logs import get_logger
-
-TRACEBACK_FRAMES_MAX = 3
-"""Number of innermost frames of a logged traceback."""
+from sardinespool.observability.tracebacks import format_current_exception
 
 _LOG = get_logger("store")
 
@@ -88,5 +84,5 @@
         group=group,
         during=during,
         message=message,
-        fault=traceback.format_exc(limit=-TRACEBACK_FRAMES_MAX),
+        fault=format_current_exception(),
     )
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -265,7 +265,7 @@
         self, proposals: list[tuple[CommandBody, Waiter]], now: Instant
     ) -> list[replica_effects.Effect]:
         payloads, waiters = encode_proposals(
-            proposals, now.unix_ms, self._leader_service.handle_unencodable
+            proposals, now.unix_ms, self._leader_service.on_encoding_failed
         )
         if not payloads:
             return []
--- a/src/sardinespool/programs/store/leader_service.py
+++ b/src/sardinespool/programs/store/leader_service.py
@@ -107,10 +107,11 @@
             self._record_fault("tick", "")
             return []
 
-    def handle_unencodable(self, command: str) -> None:
-        """Handle the exception of a command that can't be encoded.
+    def on_encoding_failed(self, command: str) -> None:
+        """Schedule a restart after a command that can't be encoded.
 
-        The service would propose the same command for good.
+        Called in the exception handler. Without a restart, the service would
+        propose the same command forever.
         """
         self._record_fault("encode", command)
 
--- a/src/sardinespool/programs/store/pending.py
+++ b/src/sardinespool/programs/store/pending.py
@@ -76,7 +76,7 @@
 def encode_proposals(
     proposals: list[tuple[CommandBody, Waiter]],
     now_unix_ms: int,
-    handle_fault: Callable[[str], None],
+    on_encoding_failed: Callable[[str], None],
 ) -> tuple[tuple[bytes, ...], list[Waiter]]:
     """Encode the commands; fail the waiters of those that can't be encoded.
 
@@ -86,9 +86,9 @@
         Commands to encode.
     now_unix_ms : int
         Current time in milliseconds since 1970.
-    handle_fault : callable
-        Called in the exception handler with the type of a command that the
-        leader proposed itself, as no waiter learns of it.
+    on_encoding_failed : callable
+        Called in the exception handler with the type of a command that has
+        no waiter, as the leader proposed it itself.
 
     Returns
     -------
@@ -105,7 +105,7 @@
             payloads.append(codec.encode(command))
         except InvalidMessageError as error:
             if waiter.reply is None:
-                handle_fault(type(body).__name__)
+                on_encoding_failed(type(body).__name__)
             fail(waiter, error)
         else:
             waiters.append(waiter)
--- a/src/sardinespool/replication/leadership.py
+++ b/src/sardinespool/replication/leadership.py
@@ -279,7 +279,7 @@
         """Return the members that are considered dead.
 
         They have not acknowledged the leader for `dead_voter_ms`, counted
-        from its election, or from their joining, at the earliest.
+        from its election or their joining at the earliest.
         """
         limit_ms = self._raft.settings.dead_voter_ms
         return {
--- a/src/sardinespool/replication/membership.py
+++ b/src/sardinespool/replication/membership.py
@@ -149,8 +149,8 @@
 ) -> Configuration | None:
     """Return the configuration without one of the dead learners, if any.
 
-    Only one member joins at a time, so a learner that never returns would
-    keep all others out. It joins again when it returns.
+    Only one member joins at a time, so a dead learner would block all other
+    joins. If it returns, it joins again.
     """
     for learner in configuration.learners:
         if learner.identity in dead:
--- a/src/sardinespool/replication/progress.py
+++ b/src/sardinespool/replication/progress.py
@@ -15,8 +15,8 @@
     next_index : int
         Index of the next entry to send.
     tracked_boot_ms : int
-        Time, on the leader's clock, from which the leader has sent to the
-        member in this term.
+        Time, on the leader's boot clock, since which the leader has tracked
+        the member: its election, or the joining of the member.
     match_index : int
         Highest index up to which the member's log is known to match.
     probing : bool
--- a/testing/platform/front_subprocess.py
+++ b/testing/platform/front_subprocess.py
@@ -30,7 +30,9 @@
     7700,
 )
 POLL_INTERVAL_S = 0.01
-ODD_REPLY = b"\x82\xa4type\xa8Accepted\xa1x" + b"\x91" * 100_000 + b"\x00"
+MALFORMED_REPLY = (
+    b"\x82\xa4type\xa8Accepted\xa1x" + b"\x91" * 100_000 + b"\x00"
+)
 """Reply with an unknown field that is nested deeply."""
 
 Answer = Callable[[Request], Awaitable[Reply]]
@@ -41,7 +43,7 @@
 
     Attributes
     ----------
-    odd_replies : int
+    malformed_replies : int
         Number of next calls that get a malformed reply.
     """
 
@@ -49,7 +51,7 @@
         self._address = address
         self._answer = answer
         self.received: list[Request] = []
-        self.odd_replies = 0
+        self.malformed_replies = 0
         self.deadlines_unix_ms: list[int] = []
         self.arrived = asyncio.Event()
 
@@ -57,9 +59,9 @@
         self, group: str, body: bytes, deadline_unix_ms: int
     ) -> bytes:
         request = codec.decode_request(body)
-        if self.odd_replies:
-            self.odd_replies -= 1
-            return ODD_REPLY
+        if self.malformed_replies:
+            self.malformed_replies -= 1
+            return MALFORMED_REPLY
         if isinstance(request, ReadMembers):
             members = MemberList(members=(self._address,), manifest_version=1)
             return codec.encode(members)
--- a/testing/platform/test_front_malformed_replies.py
+++ b/testing/platform/test_front_malformed_replies.py
@@ -31,9 +31,9 @@
     again and never answered as refused.
     """
     async with running_front(tmp_path, 5.0, answer) as front:
-        front.leader.odd_replies = replies
+        front.leader.malformed_replies = replies
         reader, writer = await front.connect()
-        while front.leader.odd_replies:
+        while front.leader.malformed_replies:
             await asyncio.sleep(0.01)
             assert front.process.returncode is None
         writer.write(b"GET /q/j HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/testing/platform/test_odd_lists.py
+++ b/testing/platform/test_invalid_lists.py
@@ -38,7 +38,7 @@
     ],
     ids=str,
 )
-def test_odd_running_row_is_refused(row: Any) -> None:
+def test_invalid_running_row_is_refused(row: Any) -> None:
     """Guards against the end of a run that no command can hold."""
     with pytest.raises(InvalidMessageError):
         decode_lists(running=[row])
@@ -57,7 +57,7 @@
     ],
     ids=str,
 )
-def test_odd_ended_row_is_refused(row: Any) -> None:
+def test_invalid_ended_row_is_refused(row: Any) -> None:
     """Guards against an end that is recorded for a run of no number."""
     with pytest.raises(InvalidMessageError):
         decode_lists(ended=[row])
@@ -87,7 +87,7 @@
 
 
 @pytest.mark.parametrize("clock_ms", [LARGE - 1, -1, 10**300, 1.5])
-def test_odd_clock_is_refused(clock_ms: Any) -> None:
+def test_invalid_clock_is_refused(clock_ms: Any) -> None:
     """Guards against a lease on a clock that no order can hold."""
     with pytest.raises(InvalidMessageError):
         decode_lists(clock_ms=clock_ms)
--- a/testing/transport/test_malformed_replies.py
+++ b/testing/transport/test_malformed_replies.py
@@ -17,7 +17,7 @@
 DEEP = b"\x82\xa4type\xa8Accepted\xa1x" + b"\x91" * 100_000 + b"\x00"
 
 
-class OddHandler:
+class MalformedReplyHandler:
     """Sends malformed replies, then good ones."""
 
     def __init__(self, reply: bytes, count: int) -> None:
@@ -44,7 +44,7 @@
 ) -> None:
     """Guards against a caller that is told that a stored job was refused."""
     address = free_address()
-    server = FrameServer("secret", OddHandler(reply, count), None)
+    server = FrameServer("secret", MalformedReplyHandler(reply, count), None)
     server.start_listening(address)
     connector = Connector(cluster_settings(), "front", "f")
     client = GroupClient("g", {"a": address}, connector)
