Name crash trials and shrunk capacities by the field's terms

Renames and doc comments only. 'Convictions' become crashes above a limit, 'stakes' the risk of a trial, 'lives' observed ages; starts on a shrunk worker are cancelled rather than given up. Comments give a reason or go.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -202,7 +202,9 @@
         worker.silent_since_boot_ms = None
         if clock_ms is not None:
             worker.clock.read(clock_ms, now.boot_ms)
-            worker.alive_clock_ms = max(worker.alive_clock_ms, clock_ms)
+            worker.last_seen_clock_ms = max(
+                worker.last_seen_clock_ms, clock_ms
+            )
 
     def _note_no_answer(
         self, worker: WorkerState, closed: bool, now: Instant
@@ -210,7 +212,7 @@
         if closed:
             worker.connection_closed = True
         elif not worker.connection_closed:
-            self._fleet.crashes.worker_silent(worker, now)
+            self._fleet.crashes.note_silence(worker, now)
 
     def _mark_unresponsive(self, worker: WorkerState, reason: str) -> None:
         if worker.answered:
@@ -240,8 +242,8 @@
         run.confirmed_boot_ms = now.boot_ms
         match order:
             case StartRun():
-                if run.present_clock_ms is None:
-                    run.present_clock_ms = clock_ms
+                if run.first_seen_clock_ms is None:
+                    run.first_seen_clock_ms = clock_ms
                 if run.phase is RunPhase.ORDERED:
                     run.phase = RunPhase.RUNNING
             case StopRun():
@@ -322,7 +324,7 @@
                 and run.sent
                 and not run.in_flight
                 and run.key not in present
-                and self._fleet.gives_up_starts(worker, now)
+                and self._fleet.must_cancel_starts(worker, now)
             ):
                 # Its start may still arrive, and can't be sent again.
                 self._control.stop_run(
@@ -358,8 +360,8 @@
             self._control.stop_run(worker, run, "not assigned")
             return
         run.listed = True
-        if run.present_clock_ms is None:
-            run.present_clock_ms = clock_ms
+        if run.first_seen_clock_ms is None:
+            run.first_seen_clock_ms = clock_ms
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
         if row.percent != run.percent:
--- a/src/sardinespool/dispatch/best_effort.py
+++ b/src/sardinespool/dispatch/best_effort.py
@@ -93,7 +93,7 @@
             STARVED_START_SPEED_MIN if starved else START_SPEED_MIN
         ):
             return None
-        share = task_millicores / worker.whole_millicores
+        share = task_millicores / worker.reference_millicores
         speed_forecast = [1.0] * len(FORECAST_OFFSETS_MS)
         contention = 0.0
         worst_cost = 0.0
--- a/src/sardinespool/dispatch/crash_recorder.py
+++ b/src/sardinespool/dispatch/crash_recorder.py
@@ -1,4 +1,4 @@
-"""Evidence of crashes of workers, collected when their runs end."""
+"""Detection of crashes of workers, and of the runs that may be the cause."""
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch import crash_trials
@@ -7,12 +7,13 @@
 from sardinespool.observability.logs import get_logger
 
 OUTAGE_WINDOW_MS = 1_500
-"""Workers of a failure domain that go silent within this time lost power or
-were cut off together: calls that were open then time out up to 1.5 s later,
-depending on their wait."""
+"""Time within which workers of a failure domain go silent that lost power or
+were cut off together. Open calls time out at different times, as their waits
+differ."""
 SILENCES_MAX = 1_000
-"""Silences that are remembered by failure domain; the oldest go first."""
+"""Limit of remembered silences of a failure domain; the oldest go first."""
 LOGGED_TASKS_MAX = 8
+"""Limit of task names in a line of the log."""
 
 _LOG = get_logger("dispatch")
 
@@ -36,8 +37,8 @@
         """Forget which workers went silent."""
         self._silences.clear()
 
-    def worker_silent(self, worker: WorkerState, now: Instant) -> None:
-        """Note that a worker has stopped answering, if it is new."""
+    def note_silence(self, worker: WorkerState, now: Instant) -> None:
+        """Note that a worker has stopped answering, unless noted before."""
         if worker.silent_since_boot_ms is not None:
             return
         worker.silent_since_boot_ms = now.boot_ms
@@ -59,7 +60,7 @@
             return
         suspects = crash_trials.suspects_of_crash(worker)
         for run, suspect in suspects:
-            # A run that is moved to the next incarnation keeps its evidence.
+            # A run that an earlier incarnation passed on is marked already.
             if not run.crash:
                 run.crash = crash_trials.crash_key(worker)
                 run.suspect = suspect
--- a/src/sardinespool/dispatch/crash_trials.py
+++ b/src/sardinespool/dispatch/crash_trials.py
@@ -1,9 +1,10 @@
 """Decisions about tasks that crash the workers that start them.
 
-Such a task takes down whatever runs beside it, and each of these runs may be
-the cause. Suspects therefore start again one by one, each alone on a worker
-for a moment: a trial. The functions decide which ends of workers are crashes,
-which runs are suspects, and which workers may take a trial; they do no I/O.
+A crash ends all runs of the worker, and each of the recent ones may be its
+cause. These suspects therefore start again in trials: nothing else starts on
+the worker of a trial until the trial has run for `TRIAL_MS`. The functions
+decide which ends of workers are crashes, which runs are suspects, and which
+workers may take a trial; they do no I/O.
 """
 
 import enum
@@ -16,19 +17,18 @@
 from sardinespool.workflows.records import TaskRecord
 
 TRIAL_MS = 500
-"""Life of a run after which it is no prime suspect. A deadly task crashes its
-worker within milliseconds of its start; the rest covers slow machines."""
+"""Age from which a run is no prime suspect, and a trial has passed."""
 YOUNG_RUN_MS = 5_000
-"""Life of a run after which a crash isn't counted for its task."""
+"""Age from which a run doesn't count for a crash."""
 TRIAL_WAIT_MS = 2_000
 """Wait after which a suspect may start beside other runs. A job with nothing
 running counts as lost after 3 s beside free capacity."""
 LONG_RUNNING_TRIAL_WAIT_MS = 500
 """The same for a long-running task, which counts as missing 6 s after its last
 run; the lease of its earlier worker may take 4.5 s of them to end."""
-LONG_RUNNING_STAKE = 10
-"""Weight of the processors of a long-running task in what a crash destroys:
-its callers miss it at once, and no checkpoint brings it back."""
+LONG_RUNNING_RISK_WEIGHT = 10
+"""Weight of the processors of a long-running task in the risk of a trial: its
+callers miss it at once, and it has no checkpoint."""
 
 
 class Loss(enum.Enum):
@@ -67,25 +67,25 @@
     return f"{worker.worker_id}#{worker.description.incarnation}"
 
 
-def lived_ms(worker: WorkerState, run: RunState) -> int:
-    """Return how long a run is known to have lived, on the worker's clock."""
-    if run.present_clock_ms is None:
+def observed_age_ms(worker: WorkerState, run: RunState) -> int:
+    """Return how long a run is known to have run, on the worker's clock."""
+    if run.first_seen_clock_ms is None:
         return 0
-    return worker.alive_clock_ms - run.present_clock_ms
+    return worker.last_seen_clock_ms - run.first_seen_clock_ms
 
 
 def suspects_of_crash(worker: WorkerState) -> list[tuple[RunState, bool]]:
     """Return the runs that count for a crash, and which are prime suspects.
 
-    The worker of a trial crashes because of the trial, so runs that had lived
-    there before it don't count. A trial proves nothing if it isn't the only
-    prime suspect, or if the worker went silent, as it may have been gone
-    before the start: the run counts, and its task gets another trial.
+    Beside a trial only prime suspects count, not the older runs. A trial is
+    inconclusive if it isn't the only prime suspect, or if the worker went
+    silent, as it may have been gone before the start: the run counts, and its
+    task gets another trial.
     """
     runs = [
         run for run in worker.runs.values() if may_have_started(worker, run)
     ]
-    prime = [run for run in runs if lived_ms(worker, run) < TRIAL_MS]
+    prime = [run for run in runs if observed_age_ms(worker, run) < TRIAL_MS]
     is_ambiguous = (
         not worker.connection_closed
         or len({unit_key(run.task) for run in prime if run.task}) > 1
@@ -93,7 +93,9 @@
     if any(run.trial for run in prime):
         counted = prime
     else:
-        counted = [run for run in runs if lived_ms(worker, run) < YOUNG_RUN_MS]
+        counted = [
+            run for run in runs if observed_age_ms(worker, run) < YOUNG_RUN_MS
+        ]
     return [
         (run, run in prime and not (run.trial and is_ambiguous))
         for run in counted
@@ -123,20 +125,21 @@
 
 
 def open_trials(worker: WorkerState) -> list[RunState]:
-    """Return the trials on a worker that have not lived long enough yet."""
+    """Return the trials on a worker that have not passed yet."""
     return [
         run
         for run in worker.trials.values()
-        if run.phase is not RunPhase.ENDED and lived_ms(worker, run) < TRIAL_MS
+        if run.phase is not RunPhase.ENDED
+        and observed_age_ms(worker, run) < TRIAL_MS
     ]
 
 
 def ms_until_trials_end(worker: WorkerState) -> int | None:
-    """Return the life that the youngest open trial still has to reach."""
+    """Return the time until the youngest open trial has passed."""
     trials = open_trials(worker)
     if not trials:
         return None
-    return TRIAL_MS - min(lived_ms(worker, run) for run in trials)
+    return TRIAL_MS - min(observed_age_ms(worker, run) for run in trials)
 
 
 def trial_wait_ms(task: TaskRecord) -> int:
@@ -146,8 +149,8 @@
     return TRIAL_WAIT_MS
 
 
-def is_open_to(worker: WorkerState, task: TaskRecord) -> bool:
-    """Return whether no trial but of the same gang keeps a task off."""
+def admits_trial(worker: WorkerState, task: TaskRecord) -> bool:
+    """Return whether all open trials on a worker are of the task's gang."""
     return all(
         run.step is task.step and task.step.spec.gang
         for run in open_trials(worker)
@@ -159,29 +162,31 @@
     return len(worker.trials) == len(worker.runs)
 
 
-def stake(worker: WorkerState) -> tuple[bool, int]:
-    """Return what a trial on a worker puts at risk, to compare workers.
+def trial_risk(worker: WorkerState) -> tuple[bool, int]:
+    """Return what a trial on a worker puts at risk, as a sort key.
 
-    First whether other runs there are so young that a crash would not show
-    the culprit, then the processors of the runs, weighted.
+    First whether a run there is so young that it would be a prime suspect of
+    the crash too, then the weighted processors of the runs.
     """
-    has_young = any(
-        lived_ms(worker, run) < TRIAL_MS for run in worker.runs.values()
+    has_young_runs = any(
+        observed_age_ms(worker, run) < TRIAL_MS for run in worker.runs.values()
     )
     millicores = 0
     for run in worker.runs.values():
         if run.step is not None:
-            weight = LONG_RUNNING_STAKE if run.step.spec.long_running else 1
+            weight = (
+                LONG_RUNNING_RISK_WEIGHT if run.step.spec.long_running else 1
+            )
             millicores += weight * run.step.spec.processors_millicores
-    return has_young, millicores
+    return has_young_runs, millicores
 
 
-def crashes_shown_by_trials(workers: Iterable[WorkerState]) -> set[str]:
-    """Return the crashes whose culprit is known but not recorded yet.
+def crashes_explained_by_trials(workers: Iterable[WorkerState]) -> set[str]:
+    """Return earlier crashes whose cause a trial has just shown.
 
-    The connection of a worker with a trial has been closed. The crash is
-    recorded only once the next process is seen, seconds later; until then the
-    other suspects of the culprit's earlier crash need no trial.
+    A closed connection shows that the worker of a trial crashed. The crash is
+    recorded only once the next process is seen, or the lease has ended; the
+    other suspects of the earlier crash need not wait for it.
     """
     crashes: set[str] = set()
     for worker in workers:
@@ -196,12 +201,20 @@
     return crashes - {""}
 
 
-def is_cleared(task: TaskRecord, shown: set[str]) -> bool:
-    """Return whether the known culprits clear a task of its suspicion."""
+def is_cleared(task: TaskRecord, explained: set[str]) -> bool:
+    """Return whether a task needs no trial as its crashes are explained.
+
+    Parameters
+    ----------
+    task : TaskRecord
+        A suspect.
+    explained : set of str
+        Crashes that other tasks have caused, by name.
+    """
     return crash_evidence.crash_count(
         task
     ) <= crash_evidence.CRASHES_BEFORE_TRIAL_MAX and all(
-        member.suspected_crash in shown
+        member.suspected_crash in explained
         for member in task.members
         if member.suspected_crash
     )
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -9,7 +9,7 @@
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.end_queue import EndQueue
-from sardinespool.dispatch.excess_starts import give_up_excess_starts
+from sardinespool.dispatch.excess_starts import cancel_excess_starts
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
@@ -293,7 +293,7 @@
         if self._proposed is not None:
             return self._proposed
         self._answers.expire_leases(now)
-        give_up_excess_starts(self.fleet, self, now)
+        cancel_excess_starts(self.fleet, self, now)
         self._planner.vacate_draining_workers(now, self)
         self._planner.rebalancer.rebalance(now, self)
         ends = self._ends.take()
@@ -375,8 +375,10 @@
             workflow = table.workflows[job_id]
             age_ms = now.unix_ms - workflow.accepted_unix_ms
             ends = command.ends
-            given_up = run_log.find_conviction(table, workflow, ends)
-            self._metrics.job_ended(workflow, age_ms, given_up is not None)
+            failing_crash = run_log.find_failing_crash(table, workflow, ends)
+            self._metrics.job_ended(
+                workflow, age_ms, failed_by_crash=failing_crash is not None
+            )
             run_log.log_job_ended(self._machine, workflow, ends, age_ms)
             self.stop_job(job_id, f"job {workflow.state}")
         for worker, run in obsolete_runs.runs_of_broken_gangs(
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -148,7 +148,7 @@
         for worker in self.workers.values():
             host = worker.description.host
             if worker.runs and host and incarnation_of(worker) < latest[host]:
-                self.crashes.worker_silent(worker, now)
+                self.crashes.note_silence(worker, now)
 
     def description_to_record(
         self, report: ReportWorker, now: Instant
@@ -296,7 +296,7 @@
                 run.stop_confirmed = False
                 run.stop_reason = "never listed by an earlier incarnation"
                 run.in_flight = False
-                run.present_clock_ms = None
+                run.first_seen_clock_ms = None
                 successor.add_run(run)
             else:
                 self._end_run(worker, run, "lost", Loss.RESTARTED.value)
@@ -402,13 +402,13 @@
         )
 
     def may_send_start(self, worker: WorkerState, now: Instant) -> bool:
-        """Return whether what is reserved fits into a known capacity."""
+        """Return whether the reservations fit into a known capacity."""
         return not worker.is_overcommitted and self.has_recent_report(
             worker, now
         )
 
-    def gives_up_starts(self, worker: WorkerState, now: Instant) -> bool:
-        """Return whether starts that have not begun must not wait here.
+    def must_cancel_starts(self, worker: WorkerState, now: Instant) -> bool:
+        """Return whether starts that were not sent must not wait any longer.
 
         The workers of a new leader have `heartbeat_age_max_ms` to report.
         """
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -26,7 +26,7 @@
         self.suspects = metrics.counter(
             "crash_suspects_total", "Runs that may have crashed their worker."
         )
-        self.convictions = metrics.counter(
+        self.jobs_given_up = metrics.counter(
             "jobs_given_up_total",
             "Jobs that failed because a task crashed its workers, by queue.",
         )
@@ -47,7 +47,7 @@
         )
 
     def job_ended(
-        self, workflow: WorkflowRecord, age_ms: int, given_up: bool
+        self, workflow: WorkflowRecord, age_ms: int, failed_by_crash: bool
     ) -> None:
         """Count an ended job.
 
@@ -57,11 +57,11 @@
             The job.
         age_ms : int
             Time since its acceptance.
-        given_up : bool
+        failed_by_crash : bool
             Whether it failed because a task crashed its workers.
         """
         queue = workflow.queue.name
         self.jobs.inc(queue=queue, state=workflow.state)
         self.completion_ms.observe(age_ms)
-        if given_up:
-            self.convictions.inc(queue=queue)
+        if failed_by_crash:
+            self.jobs_given_up.inc(queue=queue)
--- a/src/sardinespool/dispatch/orders.py
+++ b/src/sardinespool/dispatch/orders.py
@@ -95,8 +95,8 @@
 class NoAnswer:
     """No complete answer; if `sent`, the order may still take effect.
 
-    `closed` tells that the worker's host closed or refused the connection,
-    which a host that is cut off doesn't do.
+    `closed` tells that the worker's host closed or refused the connection; a
+    host that is cut off or without power does neither.
     """
 
     sent: bool
--- a/src/sardinespool/dispatch/pace_controller.py
+++ b/src/sardinespool/dispatch/pace_controller.py
@@ -168,7 +168,7 @@
         step = run.step
         if step is None:
             return False
-        share = _full_pace_millicores(run, now) / worker.whole_millicores
+        share = _full_pace_millicores(run, now) / worker.reference_millicores
         costs: dict[str, float] = {}
         pace = FULL_PACE
         limiting_image = ""
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -148,9 +148,13 @@
         planned = self._trials.place(candidates, set_aside, now)
         placers = {
             pool: Placer(
-                self._trials.without_trials(pool, candidates.get(pool, ())),
+                self._trials.workers_for_other_tasks(
+                    pool, candidates.get(pool, ())
+                ),
                 self._best_effort,
-                self._trials.without_trials(pool, set_aside.get(pool, ())),
+                self._trials.workers_for_other_tasks(
+                    pool, set_aside.get(pool, ())
+                ),
             )
             for pool in candidates.keys() | set_aside.keys()
         }
--- a/src/sardinespool/dispatch/run_log.py
+++ b/src/sardinespool/dispatch/run_log.py
@@ -1,6 +1,7 @@
 """Log lines about runs and jobs, from which failed jobs are explained.
 
-All decisions are made elsewhere; the functions only read the state.
+All decisions are made elsewhere; the functions only read the state. Some also
+return what they found, for the metrics.
 """
 
 from collections.abc import Collection
@@ -130,9 +131,9 @@
 ) -> None:
     """Log the end of a job, with the run that decided it if it failed."""
     fields: dict[str, object] = {}
-    conviction = find_conviction(machine.table, workflow, ends)
-    if conviction is not None:
-        task, end = conviction
+    failing_crash = find_failing_crash(machine.table, workflow, ends)
+    if failing_crash is not None:
+        task, end = failing_crash
         fields.update(
             task=end.task,
             run=end.run,
@@ -272,10 +273,10 @@
     return count
 
 
-def find_conviction(
+def find_failing_crash(
     table: WorkflowTable, workflow: WorkflowRecord, ends: tuple[RunEnd, ...]
 ) -> tuple[TaskRecord, RunEnd] | None:
-    """Return the task and the crash for which an ended job was given up."""
+    """Return the task and run end whose crash made an ended job fail."""
     if workflow.state != "failed":
         return None
     for end in ends:
@@ -283,7 +284,7 @@
         if (
             task is not None
             and task.step.workflow is workflow
-            and crash_evidence.is_convicting(task, end)
+            and crash_evidence.exceeds_crash_limit(task, end)
         ):
             return task, end
     return None
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -55,7 +55,7 @@
         Since when the run has been throttled.
     trial : bool
         Whether the run is a trial, see `crash_trials`.
-    present_clock_ms : int or None
+    first_seen_clock_ms : int or None
         Reading of the worker's clock when it first confirmed or listed the
         run to this leader; None before.
     crash : str
@@ -77,7 +77,7 @@
         "target_pace",
         "percent",
         "phase",
-        "present_clock_ms",
+        "first_seen_clock_ms",
         "progress_clock_ms",
         "retry_boot_ms",
         "run",
@@ -123,7 +123,7 @@
         self.throttled_since_boot_ms: int | None = None
         self.progress_clock_ms: int | None = None
         self.trial = False
-        self.present_clock_ms: int | None = None
+        self.first_seen_clock_ms: int | None = None
         self.crash = ""
         self.suspect = False
         self.tail = TailHistory()
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -35,9 +35,8 @@
     late_order_ms : int
         Longest delay after which an unanswered order may still take effect.
     heartbeat_age_max_ms : int
-        Age of a worker's last heartbeat from which no task starts on it. The
-        capacity that a heartbeat reports counts for the contact time and one
-        interval; the heartbeat itself may be a second late.
+        Age of a worker's last heartbeat from which no task starts on it, as
+        its capacity may have shrunk since.
     finished_job_retention_ms : int
         Retention time of the state of an ended job.
     """
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -1,4 +1,4 @@
-"""Placement of trials: first runs of suspects, alone on their workers."""
+"""Placement of trials: runs of tasks that are suspected of a crash."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -96,22 +96,22 @@
             planned += runs
         return planned
 
-    def without_trials(
+    def workers_for_other_tasks(
         self, pool: str, workers: Iterable[WorkerState]
     ) -> list[WorkerState]:
         """Return the workers on which other tasks may start.
 
-        While suspects wait, workers with nothing but trials are kept for
-        them: another run there would be lost with the next culprit.
+        While suspects wait, workers without other runs than trials are
+        reserved for them: a crash there ends no other run.
         """
-        keeps_trials = pool in self._reserving_pools
+        reserves_workers = pool in self._reserving_pools
         return [
             worker
             for worker in workers
             if not worker.trials
             or not (
                 crash_trials.open_trials(worker)
-                or (keeps_trials and crash_trials.has_only_trials(worker))
+                or (reserves_workers and crash_trials.has_only_trials(worker))
             )
         ]
 
@@ -125,12 +125,12 @@
     def _waiting_units(self) -> dict[str, Sequence[TaskRecord]]:
         """Return the waiting suspects, gangs whole, most crashes first."""
         table = self._machine.table
-        shown = crash_trials.crashes_shown_by_trials(
+        explained = crash_trials.crashes_explained_by_trials(
             self._fleet.workers.values()
         )
         waiting: dict[str, Sequence[TaskRecord]] = {}
         for task in table.suspects.values():
-            if crash_trials.is_cleared(task, shown):
+            if crash_trials.is_cleared(task, explained):
                 continue
             self.suspects.add(task.key)
             if task.step.key in table.ready and (
@@ -179,14 +179,14 @@
         workers: list[WorkerState],
         is_overdue: bool,
     ) -> WorkerState | None:
-        """Return a worker for a trial: without other runs, if there is one."""
+        """Return the best worker for a trial, if possible an isolated one."""
         placer = Placer((), self._best_effort)
         best: tuple[tuple[bool, bool, int, float], WorkerState] | None = None
         for worker in workers:
-            keeps_alone = crash_trials.has_only_trials(worker)
-            if not (keeps_alone or is_overdue):
+            is_isolated = crash_trials.has_only_trials(worker)
+            if not (is_isolated or is_overdue):
                 continue
-            if worker.trials and not crash_trials.is_open_to(worker, task):
+            if worker.trials and not crash_trials.admits_trial(worker, task):
                 continue
             score = placer.score_worker(
                 task.step,
@@ -197,11 +197,11 @@
             )
             if score is None:
                 continue
-            has_young, millicores = crash_trials.stake(worker)
+            has_young_runs, millicores = crash_trials.trial_risk(worker)
             rank = (
                 (False, False, 0, -score)
-                if keeps_alone
-                else (True, has_young, millicores, -score)
+                if is_isolated
+                else (True, has_young_runs, millicores, -score)
             )
             if best is None or rank < best[0]:
                 best = rank, worker
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -59,7 +59,7 @@
         Whether no run has been done since the worker was set aside.
     trials : dict of RunKey to RunState
         The runs that are trials.
-    alive_clock_ms : int
+    last_seen_clock_ms : int
         Latest reading of the worker's clock in an answer to this leader.
     connection_closed : bool
         Whether a connection was closed or refused since the last answer. A
@@ -97,7 +97,7 @@
         self.pending: dict[RunKey, RunState] = {}
         self.unanswered_starts: dict[RunKey, tuple[int, RunState]] = {}
         self.trials: dict[RunKey, RunState] = {}
-        self.alive_clock_ms = 0
+        self.last_seen_clock_ms = 0
         self.connection_closed = False
         self.silent_since_boot_ms: int | None = None
         self.sequence = -1
@@ -122,11 +122,11 @@
         self.pace_changed_boot_ms = 0
 
     @property
-    def whole_millicores(self) -> int:
-        """Processors to which shares of the worker refer, at least 1.
+    def reference_millicores(self) -> int:
+        """Processors that shares of the worker refer to, at least 1.
 
-        This is the largest capacity known to this leader: a run interferes as
-        before when the capacity shrinks.
+        This is the largest capacity known to this leader, as a run interferes
+        no less when the capacity shrinks.
         """
         return max(1, self._processors_max_millicores)
 
@@ -195,7 +195,7 @@
             if step is not None and step.spec.uses_leftover_processors:
                 self._add_best_effort_use(
                     step.spec.image,
-                    run.used_millicores / self.whole_millicores,
+                    run.used_millicores / self.reference_millicores,
                 )
 
     def declared_best_effort_use(self) -> dict[str, float]:
@@ -208,7 +208,9 @@
         for run in self.runs.values():
             step = run.step
             if step is not None and step.spec.uses_leftover_processors:
-                share = step.spec.processors_millicores / self.whole_millicores
+                share = (
+                    step.spec.processors_millicores / self.reference_millicores
+                )
                 use[step.spec.image] = use.get(step.spec.image, 0.0) + share
         return use
 
@@ -264,7 +266,7 @@
             if sign < 0:
                 self._add_best_effort_use(
                     step.image,
-                    step.processors_millicores / self.whole_millicores,
+                    step.processors_millicores / self.reference_millicores,
                 )
             return
         self.free_millicores += sign * step.processors_millicores
--- a/src/sardinespool/workflows/crash_evidence.py
+++ b/src/sardinespool/workflows/crash_evidence.py
@@ -9,15 +9,13 @@
 from sardinespool.workflows.records import TaskState
 
 CRASHES_BEFORE_TRIAL_MAX = 1
-"""Crashes up to which a task that is no prime suspect starts without a trial;
-workers also crash for other reasons."""
+"""Crashes up to which a task that is no prime suspect starts without a trial,
+as workers also crash for other reasons."""
 CRASHES_WITH_TRIAL_MIN = 3
-"""Crashes from which on the crash of a trial's worker makes the job fail. With
-two, a worker that crashes by itself during a trial makes a job fail that has
-been beside a culprit once."""
+"""Crashes from which a failed trial makes the job fail. The other two may have
+other causes: one crash of a task beside it, and one of the worker itself."""
 CRASHES_MAX = 4
-"""Crashes at which the job fails without a trial that shows the culprit. A
-task that crashes its workers may start twice after three crashes."""
+"""Crashes at which the job fails without a failed trial."""
 
 
 def crash_count(task: TaskRecord) -> int:
@@ -39,15 +37,12 @@
 
 
 def is_failed_trial(task: TaskRecord, end: RunEnd) -> bool:
-    """Return whether the worker of a trial crashed, and nothing else did it.
-
-    This clears the other suspects of the task's earlier crash.
-    """
+    """Return whether the task of a trial is the only suspect of a crash."""
     return bool(end.crash) and end.suspect and end.run == task.trial_run
 
 
-def is_convicting(task: TaskRecord, end: RunEnd) -> bool:
-    """Return whether a recorded crash makes the job of the task fail."""
+def exceeds_crash_limit(task: TaskRecord, end: RunEnd) -> bool:
+    """Return whether the job of a task fails because of a recorded crash."""
     count = crash_count(task)
     return bool(end.crash) and (
         count >= CRASHES_MAX
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -194,7 +194,7 @@
                 has_failed_anew = task.add_failed_run(end.run)
         workflow = step.workflow
         was_final = workflow.is_final
-        has_convicting_crash = self._record_crash(task, end)
+        fails_job = self._record_crash(task, end)
         if not was_final:
             if step.remaining == 0:
                 self._complete_step(step, now_unix_ms)
@@ -202,13 +202,13 @@
                 member.failures for member in task.members
             ) >= failures_max(workflow):
                 self._end_workflow(workflow, "failed", now_unix_ms)
-            elif has_convicting_crash:
+            elif fails_job:
                 self._end_workflow(workflow, "failed", now_unix_ms)
         self._update_ready(step)
         return workflow.job_id if workflow.is_final > was_final else ""
 
     def _record_crash(self, task: TaskRecord, end: RunEnd) -> bool:
-        """Record a crash; return whether it shows the task as its cause."""
+        """Record a crash, if any; return whether the job fails by it."""
         if not end.crash or not crash_evidence.add_crashed_run(task, end.run):
             return False
         if crash_evidence.is_failed_trial(task, end):
@@ -216,10 +216,10 @@
         if end.suspect:
             task.suspected_crash = end.crash
         self._update_suspects(task.members)
-        return crash_evidence.is_convicting(task, end)
+        return crash_evidence.exceeds_crash_limit(task, end)
 
     def _clear_other_suspects(self, culprit: TaskRecord) -> None:
-        """Clear the other suspects of the crash that made a task suspect."""
+        """Clear the other suspects of earlier crashes of a culprit."""
         crashes = {member.suspected_crash for member in culprit.members}
         for task in list(self.suspects.values()):
             if task.suspected_crash in crashes - {""}:
--- a/testing/dispatch/test_crash_trials.py
+++ b/testing/dispatch/test_crash_trials.py
@@ -69,11 +69,11 @@
 class Life:
     """A run on a worker that crashes.
 
-    `lived_ms` is None for a run that the worker never confirmed.
+    `observed_age_ms` is None for a run that the worker never confirmed.
     """
 
     job: str
-    lived_ms: int | None
+    observed_age_ms: int | None
     trial: bool = False
     unanswered: int = 0
     in_flight: bool = False
@@ -84,12 +84,14 @@
 def add_life(worker: WorkerState, life: Life, spec: StepSpec = SPEC) -> None:
     """Add a run to a worker whose clock was last read as `ALIVE_MS`."""
     task = make_step(spec, life.job).tasks[0]
-    phase = RunPhase.ORDERED if life.lived_ms is None else RunPhase.RUNNING
+    phase = (
+        RunPhase.ORDERED if life.observed_age_ms is None else RunPhase.RUNNING
+    )
     run = RunState(task.key, 1, task, phase, 0)
     if life.ended:
         run.phase = RunPhase.ENDED
-    if life.lived_ms is not None:
-        run.present_clock_ms = ALIVE_MS - life.lived_ms
+    if life.observed_age_ms is not None:
+        run.first_seen_clock_ms = ALIVE_MS - life.observed_age_ms
     run.sent = True
     run.trial = life.trial
     run.unanswered = life.unanswered
@@ -182,7 +184,7 @@
 ) -> None:
     """Guards against bystanders that are taken for the cause."""
     worker = make_worker("w", 40_000)
-    worker.alive_clock_ms = ALIVE_MS
+    worker.last_seen_clock_ms = ALIVE_MS
     worker.connection_closed = closed
     for life in lives:
         add_life(worker, life)
@@ -197,12 +199,12 @@
 def test_members_of_a_gang_are_one_suspect() -> None:
     """Guards against a gang whose members share a worker and never fail."""
     worker = make_worker("w", 40_000)
-    worker.alive_clock_ms = ALIVE_MS
+    worker.last_seen_clock_ms = ALIVE_MS
     worker.connection_closed = True
     for task in make_step(StepSpec(count=2, gang=True)).tasks:
         run = RunState(task.key, 1, task, RunPhase.RUNNING, 0)
         run.trial = True
-        run.present_clock_ms = ALIVE_MS
+        run.first_seen_clock_ms = ALIVE_MS
         worker.add_run(run)
     found = crash_trials.suspects_of_crash(worker)
     assert [suspect for _, suspect in found] == [True, True]
@@ -239,11 +241,11 @@
 ) -> None:
     """Guards against two starts on a worker while a trial is open."""
     worker = make_worker("w", 40_000)
-    worker.alive_clock_ms = ALIVE_MS
+    worker.last_seen_clock_ms = ALIVE_MS
     for life in lives:
         add_life(worker, life)
     task = make_step(SPEC, "next").tasks[0]
-    assert crash_trials.is_open_to(worker, task) is is_open
+    assert crash_trials.admits_trial(worker, task) is is_open
     assert crash_trials.has_only_trials(worker) is has_only_trials
     assert crash_trials.ms_until_trials_end(worker) == ms_left
 
@@ -252,15 +254,15 @@
     """Guards against a trial beside long-running tasks, or young runs."""
     workers = [make_worker(name, 40_000) for name in ("a", "b", "c", "d")]
     for worker in workers:
-        worker.alive_clock_ms = ALIVE_MS
+        worker.last_seen_clock_ms = ALIVE_MS
     lasting = StepSpec(count=1, processors_millicores=500, long_running=True)
     add_life(workers[0], Life("a", 10))
     add_life(workers[1], Life("b", 9_000), lasting)
     add_life(workers[2], Life("c", 9_000))
     add_life(workers[3], Life("d", 9_000))
     add_life(workers[3], Life("e", 9_000))
-    by_stake = sorted(workers, key=crash_trials.stake)
-    assert [worker.worker_id for worker in by_stake] == ["c", "d", "b", "a"]
+    by_risk = sorted(workers, key=crash_trials.trial_risk)
+    assert [worker.worker_id for worker in by_risk] == ["c", "d", "b", "a"]
 
 
 @pytest.mark.parametrize(
@@ -278,7 +280,7 @@
 ) -> None:
     """Guards against trials of bystanders after the culprit is known."""
     worker = make_worker("w", 40_000)
-    worker.alive_clock_ms = ALIVE_MS
+    worker.last_seen_clock_ms = ALIVE_MS
     worker.connection_closed = closed
     add_life(worker, Life("culprit", 10, trial=True))
     (run,) = worker.runs.values()
@@ -288,7 +290,7 @@
     other = make_step(SPEC, "other").tasks[0]
     other.crashed_runs = frozenset(crashes)
     other.suspected_crash = suspected_crash
-    shown = crash_trials.crashes_shown_by_trials([worker])
+    shown = crash_trials.crashes_explained_by_trials([worker])
     assert crash_trials.is_cleared(other, shown) is cleared
 
 
@@ -315,7 +317,7 @@
 def test_workers_with_nothing_but_trials_are_kept_for_suspects() -> None:
     """Guards against healthy tasks that start where the next trial will."""
     worker = make_worker("w", 4_000)
-    worker.alive_clock_ms = ALIVE_MS
+    worker.last_seen_clock_ms = ALIVE_MS
     spec = StepSpec(count=1, processors_millicores=3_000)
     add_life(worker, Life("passed", TRIAL_MS, trial=True), spec)
     planner = plan_trials("big")
@@ -323,7 +325,7 @@
     for waited_ms in (0, TRIAL_WAIT_MS - 1, TRIAL_WAIT_MS):
         now = Instant(50_000 + waited_ms, 0)
         assert planner.place({"pool": [worker]}, {}, now) == []
-        open_workers.append(planner.without_trials("pool", [worker]))
+        open_workers.append(planner.workers_for_other_tasks("pool", [worker]))
     assert open_workers == [[], [], [worker]]
 
 
