Move RunControl to its own module

excess_starts imported answer_handler for the protocol only. No change of behaviour.

Cause: answer_handler.py had grown, and the import ran against the direction of the other ones.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -1,7 +1,5 @@
 """Handling of the answers of workers to lease renewals and orders."""
 
-from typing import Protocol
-
 from sardinespool.clock import Instant
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.fleet import Fleet
@@ -23,11 +21,11 @@
 from sardinespool.dispatch.orders import StopRun
 from sardinespool.dispatch.orders import Withheld
 from sardinespool.dispatch.pace_controller import PaceController
+from sardinespool.dispatch.run_control import RunControl
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_state import WorkerState
-from sardinespool.messages.workflows import RunOutcome
 from sardinespool.observability.logs import get_logger
 
 REFUSAL_PAUSE_MS = 1_500
@@ -36,34 +34,6 @@
 _LOG = get_logger("dispatch")
 
 
-class RunControl(Protocol):
-    """Operations of the dispatcher that the answer handler needs."""
-
-    def end_run(
-        self,
-        worker: WorkerState,
-        run: RunState,
-        outcome: RunOutcome,
-        reason: str,
-        listed_number: int = 0,
-    ) -> None:
-        """Record the end of a run."""
-
-    def stop_run(
-        self, worker: WorkerState, run: RunState, reason: str
-    ) -> None:
-        """Stop a run."""
-
-    def stop_later_runs(self, task_key: str, done_run: int) -> None:
-        """Stop the runs that followed a run of a task that is done."""
-
-    def handle_fencing(self, refused_token: int) -> None:
-        """Stop sending orders with a fencing token that a worker refused."""
-
-    def defer_acknowledgement(self, worker: WorkerState) -> None:
-        """Commit the listed ends before acknowledging them to the worker."""
-
-
 class AnswerHandler:
     """Applies the answers of workers to the state of workers and runs.
 
--- a/src/sardinespool/dispatch/excess_starts.py
+++ b/src/sardinespool/dispatch/excess_starts.py
@@ -5,8 +5,8 @@
 """
 
 from sardinespool.clock import Instant
-from sardinespool.dispatch.answer_handler import RunControl
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.run_control import RunControl
 from sardinespool.dispatch.run_state import RunPhase
 
 
