Split the restart of a worker out of fleet

worker_restart holds what happens to the runs of the earlier incarnation, and how long late starts on the next one bind. Moved code only.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -1,20 +1,19 @@
 """Workers known to this leader."""
 
-from collections.abc import Callable
-
 from sardinespool.clock import Instant
+from sardinespool.dispatch import worker_restart
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_restart import EndRun
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.worker_reports import keep_draining
 from sardinespool.messages.worker_reports import limit_capacity
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
-from sardinespool.messages.workflows import RunOutcome
 from sardinespool.observability.logs import get_logger
 from sardinespool.workflows.records import TaskRecord
 
@@ -28,9 +27,6 @@
 
 _LOG = get_logger("fleet")
 
-EndRun = Callable[[WorkerState, RunState, RunOutcome, str], None]
-"""Records the end of a run with its outcome and reason."""
-
 
 class Fleet:
     """Keeps one `WorkerState` for the latest incarnation of each worker.
@@ -97,7 +93,7 @@
                 for task in tasks.values()
             ):
                 worker.unknown_lease_end_boot_ms = (
-                    self._late_lease_end_boot_ms(now)
+                    worker_restart.late_lease_end_boot_ms(self._settings, now)
                 )
             for run in runs:
                 run.sent = True
@@ -259,14 +255,7 @@
     def start_incarnation(
         self, worker: WorkerState, description: WorkerDescription, now: Instant
     ) -> None:
-        """Replace a worker by its next incarnation.
-
-        Runs that the earlier incarnation listed ended with it. A run that it
-        never listed may be on the new one: its start order is unanswered and
-        can still arrive, or the new incarnation accepted it before its first
-        heartbeat. Such a run ends only after the new incarnation has
-        confirmed a stop.
-        """
+        """Replace a worker by its next incarnation."""
         _LOG.info(
             "worker started anew",
             worker=worker.worker_id,
@@ -274,7 +263,9 @@
             earlier_life=incarnation_of(worker),
             runs=len(worker.runs),
         )
-        late_lease_end_boot_ms = self._late_lease_end_boot_ms(now)
+        late_lease_end_boot_ms = worker_restart.late_lease_end_boot_ms(
+            self._settings, now
+        )
         if worker.restarted and not worker.lease_end_ms:
             # No start was sent since the restart before.
             late_lease_end_boot_ms = worker.unknown_lease_end_boot_ms
@@ -284,60 +275,10 @@
         successor.restarted = True
         self.workers[worker.worker_id] = successor
         self.crashes.process_ended(worker, Loss.RESTARTED)
-        for run in list(worker.runs.values()):
-            if run.in_flight:
-                # The call was interrupted; the order may have arrived.
-                run.unanswered += 1
-                worker.unanswered_starts[run.key] = (now.boot_ms, run)
-            uncertain = run.unanswered or (run.sent and not run.listed)
-            if uncertain and run.phase is not RunPhase.ENDED:
-                run.phase = RunPhase.ORDERED
-                run.stop_requested = True
-                run.stop_confirmed = False
-                run.stop_reason = "never listed by an earlier incarnation"
-                run.in_flight = False
-                run.first_seen_clock_ms = None
-                successor.add_run(run)
-            else:
-                self._end_run(worker, run, "lost", Loss.RESTARTED.value)
-        self._stop_late_starts(worker, successor, now)
-
-    def _late_lease_end_boot_ms(self, now: Instant) -> int:
-        """Return until when late starts on a restarted worker may be valid.
-
-        Their lease ends are on the clock of an earlier incarnation, so only
-        the longest lease that the worker grants bounds them.
-        """
-        settings = self._settings
-        return (
-            now.boot_ms
-            + settings.late_order_ms
-            + int(settings.lease_limit_ms / settings.clock_rate_min)
-            + settings.lease_margin_ms
+        worker_restart.move_runs(
+            worker, successor, self._settings, self._end_run, now
         )
 
-    def _stop_late_starts(
-        self, worker: WorkerState, successor: WorkerState, now: Instant
-    ) -> None:
-        """Stop ended runs whose unanswered starts may still arrive."""
-        since_boot_ms = now.boot_ms - self._settings.late_order_ms
-        for key, (
-            sent_boot_ms,
-            earlier_run,
-        ) in worker.unanswered_starts.items():
-            if sent_boot_ms < since_boot_ms:
-                continue
-            successor.unanswered_starts[key] = (sent_boot_ms, earlier_run)
-            if key in successor.runs:
-                continue
-            run = RunState(
-                *key, earlier_run.task, RunPhase.ORDERED, now.boot_ms
-            )
-            run.unanswered = 1
-            run.stop_requested = True
-            run.stop_reason = "unanswered start on an earlier incarnation"
-            successor.add_run(run)
-
     def drop(self, worker: WorkerState, loss: Loss) -> None:
         """Remove a worker whose process has ended, and end its runs."""
         self.crashes.process_ended(worker, loss)
