State why two crashes with a trial do not fail a job

The doc comment of crash_evidence named the bound without its reason: a worker that crashes by itself during a trial would fail a healthy job. Comment only; no behaviour changes. Evidence: 674 tests of dispatch, workflows, groups, controller and store passed on this state.

--- a/src/sardinespool/workflows/crash_evidence.py
+++ b/src/sardinespool/workflows/crash_evidence.py
@@ -12,8 +12,8 @@
 """Crashes up to which a task that is no prime suspect starts without a trial,
 as workers also crash for other reasons."""
 CRASHES_WITH_TRIAL_MIN = 3
-"""Crashes from which a failed trial makes the job fail. The other two may have
-other causes: one crash of a task beside it, and one of the worker itself."""
+"""Crashes from which a failed trial makes the job fail. Two may have other
+causes: a task beside it, then a crash of the trial's worker by itself."""
 CRASHES_MAX = 4
 """Crashes at which the job fails without a failed trial."""
 
