Count a worker that answers again towards no outage

Callers could see a crashing task start more often than necessary: the silent crash of its worker counted as a loss of power, and so not at all, if any other worker of the failure domain had missed one call within 1.5 s and answered again.

Cause: the silence of a worker stayed on record after its next answer.

Evidence: test_worker_that_answers_again_is_in_no_outage fails without the removal of the record and passes with it; the tests of crash detection and trials pass (80).

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -169,7 +169,7 @@
             _LOG.info("worker answers", worker=worker.worker_id)
         worker.last_answer_boot_ms = now.boot_ms
         worker.connection_closed = False
-        worker.silent_since_boot_ms = None
+        self._fleet.crashes.note_answer(worker)
         if clock_ms is not None:
             worker.clock.read(clock_ms, now.boot_ms)
             worker.last_seen_clock_ms = max(
--- a/src/sardinespool/dispatch/crash_recorder.py
+++ b/src/sardinespool/dispatch/crash_recorder.py
@@ -50,6 +50,14 @@
         while len(silences) > SILENCES_MAX:
             del silences[next(iter(silences))]
 
+    def note_answer(self, worker: WorkerState) -> None:
+        """Note that a worker answers; its silence was no loss of power."""
+        if worker.silent_since_boot_ms is None:
+            return
+        worker.silent_since_boot_ms = None
+        silences = self._silences.get(worker.description.failure_domain, {})
+        silences.pop(worker.worker_id, None)
+
     def process_ended(
         self, worker: WorkerState, loss: crash_trials.Loss
     ) -> None:
