Forget the heartbeats of workers that were replaced

Operators could see the leader's memory grow with each worker that starts again under a new id, until the leader changed.

Cause: the arrival and clock of a worker's last heartbeat stayed when the worker was dropped.

Evidence: test_replaced_workers_leave_nothing_behind failed before (6 workers remembered, 1 known) and passes now.

--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -285,6 +285,8 @@
         for run in list(worker.runs.values()):
             self._end_run(worker, run, "lost", loss.value)
         self.workers.pop(worker.worker_id, None)
+        self.heartbeat_boot_ms.pop(worker.worker_id, None)
+        self._report_clock_ms.pop(worker.worker_id, None)
 
     def drop_earlier_workers(self, description: WorkerDescription) -> None:
         """Drop the workers that used the host of a worker before.
--- a/testing/dispatch/test_lost_workers.py
+++ b/testing/dispatch/test_lost_workers.py
@@ -226,3 +226,17 @@
     simulation.run(RESTART_MAX_MS)
     assert len(tasks_elsewhere(simulation, "w0")) == LONG_RUNNING.count
     assert simulation.oracle.violations == []
+
+
+def test_replaced_workers_leave_nothing_behind() -> None:
+    """Guards against memory that grows with each restart under a new id."""
+    simulation = Simulation(1, workers=1)
+    (worker,) = simulation.workers.values()
+    for number in range(5):
+        simulation.run(2_000)
+        worker.start_incarnation(simulation.now_ms, f"w0-{number}")
+    simulation.run(8_000)
+    fleet = simulation.dispatcher.fleet
+    assert set(fleet.workers) == {"w0-4"}
+    assert set(fleet.heartbeat_boot_ms) == {"w0-4"}
+    assert set(fleet._report_clock_ms) == {"w0-4"}
