Split the periodic checks of runs out of the dispatcher

The checks are a subject of their own; first_round_size belongs to the order of steps.

Change: run_checks.py and step_priority.py take them; no behaviour changes.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -19,9 +19,9 @@
 from sardinespool.dispatch.orders import RenewLease
 from sardinespool.dispatch.orders import RenewLeaseResult
 from sardinespool.dispatch.pace_controller import PaceController
-from sardinespool.dispatch.planner import CLEANUP_INTERVAL_MS
 from sardinespool.dispatch.planner import PlannedRuns
 from sardinespool.dispatch.planner import Planner
+from sardinespool.dispatch.run_checks import RunChecks
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
@@ -90,7 +90,7 @@
         self._ends = EndQueue()
         self._planned_runs: PlannedRuns = []
         self._begun_token = 0
-        self._check_due_boot_ms = 0
+        self._run_checks = RunChecks(metrics)
 
     @property
     def has_work(self) -> bool:
@@ -105,7 +105,7 @@
         self._model.restore(self._machine.estimates, now.boot_ms)
         self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
         self.fleet.begin(now)
-        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
+        self._run_checks.begin(now)
         run_log.log_leadership(
             fencing_token,
             self.fleet.workers,
@@ -300,7 +300,9 @@
         assignments, self._planned_runs = self._planner.assign(now)
         opened = self._planner.due_occurrences(now)
         forgotten = self._planner.forgotten_jobs(now)
-        self._check_tracked_runs(now)
+        self._run_checks.run_if_due(
+            self._machine.table, self.fleet.workers, self._ends, now
+        )
         if not (ends or assignments or opened or forgotten):
             self._acknowledge_listed_ends()
             return None
@@ -386,17 +388,6 @@
         ):
             self.stop_run(worker, run, "gang member ended")
 
-    def _check_tracked_runs(self, now: Instant) -> None:
-        if now.boot_ms < self._check_due_boot_ms:
-            return
-        self._check_due_boot_ms = now.boot_ms + CLEANUP_INTERVAL_MS
-        run_log.log_untracked_runs(
-            self._machine.table, self.fleet.workers, self._ends.run_keys
-        )
-        self._metrics.silent_runs.set(
-            run_log.log_silent_workers(self.fleet.workers.values(), now)
-        )
-
     def _acknowledge_listed_ends(self) -> None:
         for worker in self._ends.acknowledge():
             self._wake(worker.worker_id)
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -17,6 +17,7 @@
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.step_priority import congested_queues
+from sardinespool.dispatch.step_priority import first_round_size
 from sardinespool.dispatch.step_priority import step_priority
 from sardinespool.dispatch.step_priority import StepPriority
 from sardinespool.dispatch.tail_model import TailModel
@@ -392,11 +393,3 @@
                 worker.remove_run(run)
             return []
         return planned
-
-
-def first_round_size(step: StepRecord) -> int:
-    """Return how many tasks of a step are placed in the first round."""
-    count = step.spec.count
-    if step.spec.long_running and not step.spec.gang:
-        return (count + 1) // 2
-    return count
--- a/src/sardinespool/dispatch/step_priority.py
+++ b/src/sardinespool/dispatch/step_priority.py
@@ -180,3 +180,11 @@
         total += task_work * spec.count
         left += task_work * (len(other.waiting) + RUNNING_TASK_WORK * running)
     return round(left / total, 2)
+
+
+def first_round_size(step: StepRecord) -> int:
+    """Return how many tasks of a step are placed in the first round."""
+    count = step.spec.count
+    if step.spec.long_running and not step.spec.gang:
+        return (count + 1) // 2
+    return count
--- a/testing/dispatch/test_planner.py
+++ b/testing/dispatch/test_planner.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from sardinespool.dispatch.planner import first_round_size
+from sardinespool.dispatch.step_priority import first_round_size
 from sardinespool.messages.estimates import InterferenceEstimateRecord
 from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.workflows import StepSpec
--- a/testing/dispatch/test_run_log.py
+++ b/testing/dispatch/test_run_log.py
@@ -12,7 +12,7 @@
 from sardinespool.dispatch.orders import EndedRun
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import RenewLease
-from sardinespool.dispatch.planner import CLEANUP_INTERVAL_MS
+from sardinespool.dispatch.run_checks import CHECK_INTERVAL_MS
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages import codec
@@ -399,7 +399,7 @@
         leader.assign(SECOND, 1)
     if case == "end is not committed":
         dispatcher.worker_left("w")
-    for elapsed_ms in range(0, 2 * CLEANUP_INTERVAL_MS, 100):
+    for elapsed_ms in range(0, 2 * CHECK_INTERVAL_MS, 100):
         dispatcher.plan(
             Instant(NOW.boot_ms + elapsed_ms, NOW.unix_ms + elapsed_ms)
         )
