--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Independent review: cases that break a rule, with their stand-ins."""
--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for callers, operators, workers and machines."""
