--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,79 +1,65 @@
-"""Takes a zone back and evacuates it again while a machine is frozen."""
+"""Counts waiting jobs while the only worker that fits them is unhealthy."""
 
 import asyncio
 
 from review.standin import case
 from review.standin.cluster import CannotRunError
+from review.standin.http import call
 
-FREEZE_S = 7.8
-EVACUATION_S = 5.0
+SICK_S = 6.5
+VISIBLE_S = 3.0
+JOBS = 10
 HOST = "nony24.example"
-ZONE = "caldas-norte"
 
 
 async def play(self: case.Case) -> str:
-    """Return what broke EVAC, or ""."""
+    """Return what broke MIXED, or ""."""
     await self.start([HOST])
-    cluster, record = self.cluster, self.record
-    start, finish = (
-        f"/api/evacuation/{ZONE}/{verb}" for verb in ("start", "finish")
-    )
+    record = self.record
     worker = self.workers[0]
-    await worker.heartbeat(cluster.control_addresses()[0])
-    leader = cluster.machine_at(worker.heartbeat_address)
-    if leader is None:
-        raise CannotRunError("no leader was named")
-    frozen = [machine for machine in cluster.cores if machine is not leader][0]
-    others = [machine for machine in cluster.cores if machine is not frozen]
-    submitting = asyncio.create_task(submit_jobs(self))
-    await order(self, start)
-    await asyncio.sleep(2.0)
     if self.trouble:
-        frozen.freeze()
-    frozen_s = record.now_s
-    # The operator happens to pick the frozen machine first.
-    if not await cluster.order(finish, first=frozen):
-        raise CannotRunError("the end of the evacuation was not acknowledged")
-    await asyncio.sleep(frozen_s + FREEZE_S - 1.0 - record.now_s)
-    if not await cluster.order(start, first=others[0]):
-        raise CannotRunError("the evacuation was not acknowledged")
-    acknowledged_s = record.now_s
-    await asyncio.sleep(frozen_s + FREEZE_S - record.now_s)
-    if self.trouble:
-        frozen.thaw()
-    await asyncio.sleep(acknowledged_s + EVACUATION_S + 6.0 - record.now_s)
-    submitting.cancel()
-    late = [
-        (at_s, task)
-        for worker in self.workers
-        if worker.identity["zone"] == ZONE
-        for at_s, task, _ in worker.starts
-        if at_s > acknowledged_s + EVACUATION_S
-    ]
-    if not late:
-        return ""
-    return (
-        f"{len(late)} starts in {ZONE} over {EVACUATION_S:.0f} s after its "
-        f"evacuation was acknowledged at {acknowledged_s:.3f} s; "
-        f"the first at {late[0][0]:.3f} s: {late[0][1]}"
-    )
-
-
-async def order(self: case.Case, path: str) -> None:
-    """Send an order and wait for its ack."""
-    if not await self.cluster.order(path):
-        raise CannotRunError(f"{path} was not acknowledged")
-
-
-async def submit_jobs(self: case.Case) -> None:
-    """Submit a job of six short tasks five times a second."""
-    number = 0
-    while True:
-        number += 1
-        steps = [{"count": 6, "cpu": 4000, "estimated_ms": 500}]
-        body = {"task_spec": "0.5", "steps": steps}
-        await self.request("POST", HOST, f"{number:016x}", body)
-        await asyncio.sleep(0.2)
+        worker.unhealthy = True
+        record.line("worker unhealthy", id=worker.identity["id"])
+    sick_s = record.now_s
+    accepted: dict[str, float] = {}
+    for number in range(1, JOBS + 1):
+        job_id = f"{number:016x}"
+        step = {"count": 1, "cpu": 1000, "estimated_ms": 500}
+        body = {"task_spec": "0.5", "steps": [{**step, "requirements": "k"}]}
+        status, _ = await self.request("POST", HOST, job_id, body)
+        if status != 200:
+            raise CannotRunError("a job was not accepted")
+        accepted[job_id] = record.now_s
+    broken = ""
+    while record.now_s < sick_s + SICK_S:
+        asked_s = record.now_s
+        status, answer = await call(
+            self.cluster.fronts[0].address,
+            "GET",
+            "/jobs/",
+            None,
+            {"Host": HOST, "X-Sardinespool-Request-Deadline": "3000"},
+        )
+        begun = {
+            task.partition(".")[0]
+            for other in self.workers
+            for _, task, _ in other.starts
+        }
+        owed = [
+            job_id
+            for job_id, at_s in accepted.items()
+            if job_id not in begun and at_s < asked_s - VISIBLE_S - 2.0
+        ]
+        record.line("waiting", status=status, answer=answer, owed=len(owed))
+        if status == 200 and 2 * answer["waiting"] < len(owed) and not broken:
+            broken = (
+                f"waiting is {answer['waiting']} while {len(owed)} jobs were "
+                f"accepted over {VISIBLE_S + 2:.0f} s before and haven't begun"
+            )
+        await asyncio.sleep(0.25)
+    worker.unhealthy = False
+    await asyncio.sleep(4.0)
+    return broken
 
 
-case.run(__file__, play, workers=6)
+case.run(__file__, play, workers=7, labels={0: "k"})
