--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,7 +5,7 @@
 from review.standin import case
 from review.standin.cluster import CannotRunError
 
-FREEZE_S = 7.8
+FREEZE_S = 7.6
 EVACUATION_S = 5.0
 HOST = "nony24.example"
 ZONE = "caldas-norte"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 from review.standin.cluster import CannotRunError
 from review.standin.http import call
 
-SICK_S = 6.5
+SICK_S = 6.2
 VISIBLE_S = 3.0
 JOBS = 10
 HOST = "nony24.example"
@@ -62,4 +62,4 @@
     return broken
 
 
-case.run(__file__, play, workers=7, labels={0: "k"})
+case.run(__file__, play, workers=10, labels={0: "k"})
