Draw no conclusion from a list that lacks ends

Cause: a worker lists at most 500 ends at a time. The leader took each run that it found in neither list for lost and started its task again before the next list. Ruled out: a lease that lapsed (none did), an answer from before the start (dropped by the time of its request).

Change: the adapter says whether a list is complete. Only a complete list ends, stops or quarantines by what it lacks, and only it makes a worker known to a new leader. After a full list the next one is requested at once, also without runs. Ends are recorded by ascending number, as an acknowledgement covers all lower ones.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -25,6 +25,7 @@
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.observability.logs import get_logger
 
@@ -266,18 +267,38 @@
         sent_boot_ms: int,
         now: Instant,
     ) -> None:
-        present: set[tuple[str, int]] = set()
+        present: set[RunKey] = set()
         for row in answer.running:
             present.add((row.task, row.run))
             self._apply_running_row(worker, row, answer.clock_ms, now)
         new_ends = False
-        for ended in answer.ended:
+        # An acknowledgement covers all ends with lower numbers.
+        for ended in sorted(answer.ended, key=lambda row: row.number):
             present.add((ended.task, ended.run))
             if ended.number > worker.last_listed_end:
                 worker.last_listed_end = ended.number
                 new_ends = True
                 self._apply_ended_row(worker, ended, now)
-        worker.reconciled = True
+        worker.has_unlisted_ends = not answer.is_complete
+        if answer.is_complete:
+            worker.reconciled = True
+            self._handle_absent_runs(worker, present, sent_boot_ms, now)
+        if new_ends:
+            self._control.defer_acknowledgement(worker)
+        self._pace_controller.update_paces(worker, now)
+        if answer.is_complete:
+            self._health.check_progress(
+                worker, answer.clock_ms, now, self._control
+            )
+
+    def _handle_absent_runs(
+        self,
+        worker: WorkerState,
+        present: set[RunKey],
+        sent_boot_ms: int,
+        now: Instant,
+    ) -> None:
+        """End or stop the runs that a complete list does not contain."""
         for run in list(worker.runs.values()):
             if (
                 run.key not in present
@@ -300,12 +321,6 @@
                 self._control.stop_run(
                     worker, run, "capacity shrank or unknown"
                 )
-        if new_ends:
-            self._control.defer_acknowledgement(worker)
-        self._pace_controller.update_paces(worker, now)
-        self._health.check_progress(
-            worker, answer.clock_ms, now, self._control
-        )
 
     def _apply_running_row(
         self,
--- a/src/sardinespool/dispatch/order_queue.py
+++ b/src/sardinespool/dispatch/order_queue.py
@@ -63,6 +63,7 @@
             worker.reconciled
             and worker.answered
             and not worker.runs
+            and not worker.has_unlisted_ends
             and worker.acknowledged_end >= worker.last_listed_end
         ):
             return None
--- a/src/sardinespool/dispatch/orders.py
+++ b/src/sardinespool/dispatch/orders.py
@@ -140,12 +140,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRenewed:
-    """Answer to a lease renewal; `incarnation` is the worker's, or None."""
+    """Answer to a lease renewal; `incarnation` is the worker's, or None.
+
+    A worker lists a limited number of ends at a time, the earliest first.
+    Unless `is_complete`, a run in neither list may have ended.
+    """
 
     clock_ms: int
     incarnation: int | None
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
 
 
 RenewLeaseResult = (
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -36,7 +36,9 @@
         Whether the worker answered the last call; tasks are placed only on
         workers that did.
     reconciled : bool
-        Whether this leader has received a list of the worker's runs.
+        Whether this leader has received a complete list of the worker's runs.
+    has_unlisted_ends : bool
+        Whether the latest list may lack ends, which the next one contains.
     lease_end_ms : int
         Latest lease end sent by this leader, in the worker's clock.
     unknown_lease_end_boot_ms : int
@@ -105,6 +107,7 @@
         self.restarted = False
         self.answered = False
         self.reconciled = False
+        self.has_unlisted_ends = False
         self.lease_end_ms = 0
         self.acknowledged_end = 0
         self.last_listed_end = 0
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -88,6 +88,9 @@
 _ORDER_DECODER = msgspec.json.Decoder(_OrderResponse)
 _ENCODER = msgspec.json.Encoder()
 
+ENDS_LISTED_MAX = 500
+"""Ends in one lease renewal response; the protocol sets this limit."""
+
 _OUTCOME_BY_END_REASON: dict[str, RunOutcome] = {
     "done": "done",
     "failed": "failed",
@@ -240,7 +243,13 @@
         )
         for row in response.running
     )
-    return LeaseRenewed(response.clock_ms, response.born, running, ended)
+    return LeaseRenewed(
+        response.clock_ms,
+        response.born,
+        running,
+        ended,
+        is_complete=len(ended) < ENDS_LISTED_MAX,
+    )
 
 
 def decode_order_response(body: bytes) -> tuple[int | None, Refusal | None]:
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -62,6 +62,8 @@
         Tasks that crash the worker shortly after they start.
     on_crash : callable or None
         Called when a task has crashed the worker.
+    ends_listed_max : int
+        Ends in one list; the others are listed once these are acknowledged.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -77,6 +79,7 @@
         self.crashing_tasks: set[str] = set()
         self.on_crash: Callable[[], None] | None = None
         self.fenced = 0
+        self.ends_listed_max = 500
         self.up = True
         self.reachable = True
         self._host = worker_id
@@ -227,8 +230,13 @@
             RunningRun(task, item.run, "", percent, None)
             for task, item in self.running.items()
         )
+        ended = tuple(self._ended[: self.ends_listed_max])
         return LeaseRenewed(
-            self.clock(now_ms), self.incarnation, running, tuple(self._ended)
+            self.clock(now_ms),
+            self.incarnation,
+            running,
+            ended,
+            is_complete=len(ended) < self.ends_listed_max,
         )
 
     @property
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -99,6 +99,8 @@
         they time out.
     restores_snapshots : bool
         Whether each new leader starts from a restored snapshot.
+    list_latency_ms : int
+        Time from a lease renewal to the lists of a worker that has ends.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.connections_end_with_process = False
         self.hosts_refuse = False
         self.restores_snapshots = False
+        self.list_latency_ms = 1
         self.crashing_tasks: set[str] = set()
         self.workers = {
             f"w{number}": FakeWorker(
@@ -405,7 +408,9 @@
             guard.prepare(renewal, incarnation), self.now_ms
         )
         guard.handle_answer(first)
-        wait_ms = 1 if worker.has_ends else max(1, renewal.wait_ms // 4)
+        wait_ms = max(self.list_latency_ms, renewal.wait_ms // 4)
+        if worker.has_ends:
+            wait_ms = self.list_latency_ms
 
         def later() -> None:
             answer(
--- a/testing/platform/test_invalid_lists.py
+++ b/testing/platform/test_invalid_lists.py
@@ -93,3 +93,17 @@
         decode_lists(clock_ms=clock_ms)
     body = json.dumps({"clock_ms": clock_ms, "reason": "room"}).encode()
     assert decode_order_response(body) == (None, None)
+
+
+@pytest.mark.parametrize(
+    ("ends", "is_complete"),
+    [(0, True), (499, True), (500, False), (501, False)],
+)
+def test_list_of_the_most_ends_is_incomplete(
+    ends: int, is_complete: bool
+) -> None:
+    """Guards against a run that is taken for lost as its end isn't listed."""
+    rows = [
+        [number, "j.0.0.0", 1, "done", ""] for number in range(1, ends + 1)
+    ]
+    assert decode_lists(ended=rows).is_complete == is_complete
