Count a job as waiting until a worker has begun a task

Cause: the table took an assignment for a begin, and kept a counter that fell with it and never rose again. Ruled out: the refusals themselves (the count fell with the assignments, 8 after two of them and 0 after ten) and a stale copy of the count.

Change: the leader records that a job has begun once a worker has answered a start or listed a run or its end, with the next command or after 1 s. The waiting jobs of a queue follow from the records of its jobs. The order of the queue asks for assigned or begun, so that a job between the two isn't overtaken. Log line "job begun".

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -1,6 +1,7 @@
 """Handling of the answers of workers to lease renewals and orders."""
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.begun_jobs import BegunJobs
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
@@ -48,6 +49,8 @@
         Adapts the pace of best-effort tasks.
     health : WorkerHealth
         Tracks failing and stalled runs by worker.
+    begun_jobs : BegunJobs
+        Collects the jobs of begun runs.
     control : RunControl
         Records ends of runs and stops runs.
     """
@@ -58,10 +61,12 @@
         settings: DispatchSettings,
         pacing: PaceController,
         health: WorkerHealth,
+        begun_jobs: BegunJobs,
         control: RunControl,
     ) -> None:
         self._pace_controller = pacing
         self._health = health
+        self._begun_jobs = begun_jobs
         self._fleet = fleet
         self._settings = settings
         self._control = control
@@ -118,7 +123,7 @@
         match answer:
             case OrderDone(clock_ms=clock_ms):
                 self._mark_responsive(worker, clock_ms, now)
-                self._handle_done(run, order, clock_ms, now)
+                self._handle_done(worker, run, order, clock_ms, now)
             case OrderRefused(reason=Refusal.FENCED):
                 self._fence(worker, order.fencing_token)
             case OrderRefused(reason=reason, clock_ms=clock_ms):
@@ -208,11 +213,17 @@
         self._fleet.drop(worker, Loss.ADDRESS_REUSED)
 
     def _handle_done(
-        self, run: RunState, order: Order, clock_ms: int | None, now: Instant
+        self,
+        worker: WorkerState,
+        run: RunState,
+        order: Order,
+        clock_ms: int | None,
+        now: Instant,
     ) -> None:
         run.confirmed_boot_ms = now.boot_ms
         match order:
             case StartRun():
+                self._begun_jobs.run_begun(worker, run, now)
                 if run.first_seen_clock_ms is None:
                     run.first_seen_clock_ms = clock_ms
                 if run.phase is RunPhase.ORDERED:
@@ -344,7 +355,9 @@
             worker.add_run(run)
             self._control.stop_run(worker, run, "not assigned")
             return
-        run.listed = True
+        if not run.listed:
+            run.listed = True
+            self._begun_jobs.run_begun(worker, run, now)
         if run.first_seen_clock_ms is None:
             run.first_seen_clock_ms = clock_ms
         if run.phase is RunPhase.ORDERED:
@@ -366,6 +379,7 @@
             )
         if row.checkpoint:
             run.checkpoint = row.checkpoint
+        self._begun_jobs.run_begun(worker, run, now)
         self._control.end_run(
             worker, run, row.outcome, "reported", listed_number=row.number
         )
--- a/src/sardinespool/dispatch/congestion_log.py
+++ b/src/sardinespool/dispatch/congestion_log.py
@@ -39,7 +39,7 @@
         congested : collection of str
             Names of the queues that are congested in this pass.
         waiting_jobs : mapping of str to int
-            Number of jobs without any assignment, by queue.
+            Number of jobs that have not begun, by queue.
         now : Instant
             Time of the pass.
         """
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -206,8 +206,8 @@
 
     def _count_waiting(self, host: str, path: str) -> ImmediateReply:
         queue, _ = self._machine.manifest.resolve(host, path)
-        waiting = self._machine.table.waiting_jobs.get(queue.name, 0)
-        return ImmediateReply(WaitingCount(waiting=waiting))
+        waiting = self._machine.table.waiting.get(queue.name, ())
+        return ImmediateReply(WaitingCount(waiting=len(waiting)))
 
     def _publish(self, request: PublishManifest) -> ImmediateReply | Proposal:
         check_manifest(request)
@@ -264,7 +264,7 @@
             "evacuated": sorted(self._machine.evacuated),
             "jobs": len(table.workflows),
             "ready_steps": len(table.ready),
-            "waiting_jobs": dict(table.waiting_jobs),
+            "waiting_jobs": table.waiting_counts(),
             "workers": {
                 worker.worker_id: {
                     "answered": worker.answered,
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 from sardinespool.dispatch import obsolete_runs
 from sardinespool.dispatch import run_log
 from sardinespool.dispatch.answer_handler import AnswerHandler
+from sardinespool.dispatch.begun_jobs import BegunJobs
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.end_queue import EndQueue
@@ -79,8 +80,14 @@
         self._model = model = TailModel()
         self._estimates_due_boot_ms = 0
         self.health = WorkerHealth()
+        self._begun_jobs = BegunJobs(self.fleet)
         self._answers = AnswerHandler(
-            self.fleet, settings, PaceController(model), self.health, self
+            self.fleet,
+            settings,
+            PaceController(model),
+            self.health,
+            self._begun_jobs,
+            self,
         )
         self._planner = Planner(
             machine, self.fleet, settings, model, self.health
@@ -303,10 +310,17 @@
         self._run_checks.run_if_due(
             self._machine.table, self.fleet.workers, self._ends, now
         )
-        if not (ends or assignments or opened or forgotten):
+        if not (
+            ends
+            or assignments
+            or opened
+            or forgotten
+            or self._begun_jobs.is_due(now)
+        ):
             self._acknowledge_listed_ends()
             return None
         self._proposed = RecordRuns(
+            begun=self._begun_jobs.take(),
             ends=ends,
             opened=opened,
             assignments=assignments,
@@ -395,6 +409,7 @@
     def _reset(self) -> None:
         self._proposed = None
         self._ends.reset()
+        self._begun_jobs.reset()
         self._planned_runs = []
         self._planner.reset()
         self.health.reset()
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -127,7 +127,9 @@
         """
         ready = self._machine.table.ready
         if not ready:
-            self.congestion.update((), self._machine.table.waiting_jobs, now)
+            self.congestion.update(
+                (), self._machine.table.waiting_counts(), now
+            )
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
@@ -324,7 +326,7 @@
         ]
         congested = congested_queues(queues, now.unix_ms)
         self.congestion.update(
-            congested, self._machine.table.waiting_jobs, now
+            congested, self._machine.table.waiting_counts(), now
         )
         entries: list[tuple[StepPriority, StepRecord, int]] = []
         for step, queue in queues:
--- a/src/sardinespool/dispatch/run_log.py
+++ b/src/sardinespool/dispatch/run_log.py
@@ -71,6 +71,21 @@
     )
 
 
+def log_job_begun(
+    workflow: WorkflowRecord, worker: WorkerState, run: RunState, now: Instant
+) -> None:
+    """Log the first run of a job that a worker is known to have begun."""
+    _LOG.info(
+        "job begun",
+        job=workflow.job_id,
+        queue=workflow.queue.name,
+        task=run.task_key,
+        run=run.run,
+        worker=worker.worker_id,
+        age_ms=now.unix_ms - workflow.accepted_unix_ms,
+    )
+
+
 def log_run_ended(
     table: WorkflowTable,
     worker: WorkerState,
--- a/src/sardinespool/dispatch/step_priority.py
+++ b/src/sardinespool/dispatch/step_priority.py
@@ -102,7 +102,9 @@
     spec = step.spec
     objective_ms = objective_of(step, queue)
     age_ms = now_unix_ms - workflow.accepted_unix_ms
-    newest_first = congested and not workflow.begun and not spec.long_running
+    newest_first = (
+        congested and not workflow.is_in_progress and not spec.long_running
+    )
     return StepPriority(
         awaits=not overdue,
         queue_priority=queue.priority,
@@ -135,8 +137,8 @@
     for step, queue in steps:
         if (
             queue.name in names
-            or step.workflow.begun
             or step.spec.long_running
+            or step.workflow.is_in_progress
         ):
             continue
         age_ms = now_unix_ms - step.workflow.accepted_unix_ms
--- a/src/sardinespool/messages/workflows.py
+++ b/src/sardinespool/messages/workflows.py
@@ -172,9 +172,12 @@
 class RecordRuns(Message, frozen=True, kw_only=True):
     """Changes of one planning pass, applied in the order of the fields.
 
-    `opened` lists the occurrences, by job and number, that became due.
+    `begun` lists jobs of which a worker has begun a task, and `opened` the
+    occurrences, by job and number, that became due. Earlier builds store no
+    `begun`.
     """
 
+    begun: tuple[str, ...] = ()
     ends: tuple[RunEnd, ...] = ()
     opened: tuple[tuple[str, int], ...] = ()
     assignments: tuple[Assignment, ...] = ()
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -199,7 +199,7 @@
         Queue at the time of acceptance; used only if the manifest in force
         no longer has the queue.
     begun : bool
-        Whether a task of the job was ever assigned.
+        Whether a worker is known to have begun a task of the job.
     critical_path_ms : int
         Expected run time of the critical path.
     occurrences : dict of int to list of StepRecord
@@ -242,6 +242,20 @@
         """Whether the job has ended."""
         return self.state in FINAL_STATES
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the job has not ended and no task is known to have begun."""
+        return not self.begun and not self.is_final
+
+    @property
+    def is_in_progress(self) -> bool:
+        """Whether a task of the job is assigned or has begun."""
+        return self.begun or any(
+            step.remaining > len(step.waiting)
+            for steps in self.occurrences.values()
+            for step in steps
+        )
+
     @property
     def occurrence_count(self) -> int:
         """Number of times the steps run."""
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -35,8 +35,8 @@
         Jobs with occurrences that are not opened yet, by id.
     assigned : dict of str to dict
         Assigned tasks by worker id and task name.
-    waiting_jobs : dict of str to int
-        Number of unfinished jobs without any assignment, by queue.
+    waiting : dict of str to set of str
+        Ids of the jobs that wait for the begin of their first task, by queue.
     suspects : dict of str to TaskRecord
         Tasks whose next run must be a trial, by name.
     """
@@ -46,7 +46,7 @@
         self.ready: dict[StepKey, StepRecord] = {}
         self.unopened: dict[str, WorkflowRecord] = {}
         self.assigned: dict[str, dict[str, TaskRecord]] = {}
-        self.waiting_jobs: dict[str, int] = {}
+        self.waiting: dict[str, set[str]] = {}
         self.suspects: dict[str, TaskRecord] = {}
 
     def accept(
@@ -59,7 +59,7 @@
                 body.job_id, queue, body.spec, now_unix_ms
             )
             self.workflows[body.job_id] = workflow
-            self._count_waiting(workflow, 1)
+            self._update_waiting(workflow)
             if body.spec.repetitions:
                 self.unopened[body.job_id] = workflow
             else:
@@ -76,11 +76,15 @@
     def record_runs(
         self, body: RecordRuns, now_unix_ms: int, failures_max: FailureLimit
     ) -> RunsRecorded:
-        """Apply ends, opened occurrences, assignments and removals in order.
+        """Apply begins, ends, opened occurrences, assignments and removals.
 
         An assignment is refused unless its task is waiting in a runnable step
         and its run number is new, so that outdated plans have no effect.
         """
+        for job_id in body.begun:
+            workflow = self.workflows.get(job_id)
+            if workflow is not None:
+                self._mark_begun(workflow)
         ended_jobs: list[str] = []
         for end in body.ends:
             job_id = self._record_end(end, now_unix_ms, failures_max)
@@ -108,6 +112,10 @@
         if workflow.next_due_unix_ms is None:
             self.unopened.pop(workflow.job_id, None)
 
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the number of waiting jobs by queue."""
+        return {name: len(jobs) for name, jobs in self.waiting.items()}
+
     def task(self, key: str) -> TaskRecord | None:
         """Return a task by its name, or None if it does not exist."""
         parts = split_task_key(key)
@@ -128,11 +136,10 @@
         self.ready.clear()
         self.unopened.clear()
         self.assigned.clear()
-        self.waiting_jobs.clear()
+        self.waiting.clear()
         self.suspects.clear()
         for workflow in self.workflows.values():
-            if not workflow.begun and not workflow.is_final:
-                self._count_waiting(workflow, 1)
+            self._update_waiting(workflow)
             if workflow.next_due_unix_ms is not None:
                 self.unopened[workflow.job_id] = workflow
             for steps in workflow.occurrences.values():
@@ -153,7 +160,6 @@
             or not task.step.is_runnable
         ):
             return False
-        workflow = task.step.workflow
         task.state = TaskState.ASSIGNED
         task.run = assignment.run
         task.worker_id = assignment.worker_id
@@ -162,10 +168,6 @@
             task.trial_run = assignment.run
         task.step.waiting.discard(task.index)
         self._index_assigned(task)
-        if not workflow.begun:
-            self._count_waiting(workflow, -1)
-            workflow.begun = True
-            workflow.state = "running"
         self._update_ready(task.step)
         return True
 
@@ -193,6 +195,9 @@
             elif end.outcome == "failed":
                 has_failed_anew = task.add_failed_run(end.run)
         workflow = step.workflow
+        if end.outcome != "lost":
+            # A worker ends a run so only after it has begun it.
+            self._mark_begun(workflow)
         was_final = workflow.is_final
         fails_job = self._record_crash(task, end)
         if not was_final:
@@ -273,10 +278,9 @@
         state: WorkflowState,
         now_unix_ms: int,
     ) -> None:
-        if not workflow.begun:
-            self._count_waiting(workflow, -1)
         workflow.state = state
         workflow.ended_unix_ms = now_unix_ms
+        self._update_waiting(workflow)
         self.unopened.pop(workflow.job_id, None)
         self._update_suspects(
             [
@@ -303,6 +307,15 @@
     def _index_assigned(self, task: TaskRecord) -> None:
         self.assigned.setdefault(task.worker_id, {})[task.key] = task
 
-    def _count_waiting(self, workflow: WorkflowRecord, delta: int) -> None:
-        name = workflow.queue.name
-        self.waiting_jobs[name] = self.waiting_jobs.get(name, 0) + delta
+    def _mark_begun(self, workflow: WorkflowRecord) -> None:
+        workflow.begun = True
+        if workflow.state == "queued":
+            workflow.state = "running"
+        self._update_waiting(workflow)
+
+    def _update_waiting(self, workflow: WorkflowRecord) -> None:
+        jobs = self.waiting.setdefault(workflow.queue.name, set())
+        if workflow.is_waiting:
+            jobs.add(workflow.job_id)
+        else:
+            jobs.discard(workflow.job_id)
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -64,6 +64,10 @@
         Called when a task has crashed the worker.
     ends_listed_max : int
         Ends in one list; the others are listed once these are acknowledged.
+    refuses_starts : bool
+        Whether the worker is unhealthy and does nothing for a start.
+    refused : int
+        Number of starts that it refused so.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -80,6 +84,8 @@
         self.on_crash: Callable[[], None] | None = None
         self.fenced = 0
         self.ends_listed_max = 500
+        self.refuses_starts = False
+        self.refused = 0
         self.up = True
         self.reachable = True
         self._host = worker_id
@@ -248,6 +254,9 @@
         self, order: StartRun, now_ms: int, sent_ms: int | None
     ) -> OrderResult:
         clock_ms = self.clock(now_ms)
+        if self.refuses_starts:
+            self.refused += 1
+            return OrderRefused(Refusal.UNHEALTHY, clock_ms)
         running = self.running.get(order.task)
         if running is not None and running.run == order.run:
             self._extend(order.lease_end_ms, clock_ms)
--- a/testing/workflows/support.py
+++ b/testing/workflows/support.py
@@ -34,13 +34,22 @@
             AcceptWorkflow(job_id="j", queue="q", spec=spec), QUEUE, 0
         )
 
-    def assign(self, task: str, run: int = 1) -> bool:
+    def assign(self, task: str, run: int = 1, begins: bool = True) -> bool:
+        """Assign a task, and let the worker begin it; return if accepted."""
         result = self.table.record_runs(
             RecordRuns(assignments=(Assignment(f"j.{task}", run, "w", 1),)),
             0,
             lambda workflow: workflow.queue.failures_max,
         )
-        return not result.refused
+        if result.refused:
+            return False
+        if begins:
+            self.table.record_runs(
+                RecordRuns(begun=("j",)),
+                0,
+                lambda workflow: workflow.queue.failures_max,
+            )
+        return True
 
     def end(
         self,
--- a/testing/workflows/test_crash_evidence.py
+++ b/testing/workflows/test_crash_evidence.py
@@ -154,6 +154,7 @@
             )
             if not self.table.workflows[name].is_final:
                 self._apply(RecordRuns(assignments=(assignment,)))
+                self._apply(RecordRuns(begun=(name,)))
 
     def _apply(self, body: RecordRuns) -> None:
         self.table.record_runs(body, 0, lambda workflow: 2)
