Carry out an evacuation order only while its caller waits

Cause: neither the content of the order nor anything on its way told that its caller had moved on. A compare-and-set with a version that the woken machine reads would prove nothing.

Change: a core machine knows the earliest arrival of a request's first byte from the passes of its event loop. It forwards an evacuation order only in the time in which callers wait (0.9 s), with the connection open, and under a ticket that it asks the leader for. The leader measures the ticket's age by its own clock and refuses one of another term, one that is too old, and one from before another order for the domain.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -6,6 +6,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.order_tickets import OrderTickets
 from sardinespool.dispatch.report_check import check_report
 from sardinespool.errors.tasks import InvalidJobError
 from sardinespool.errors.tasks import JobGoneError
@@ -24,6 +25,7 @@
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.manifest import ReadMembers
+from sardinespool.messages.manifest import ReadOrderTicket
 from sardinespool.messages.manifest import SetEvacuation
 from sardinespool.messages.tasks import Accepted
 from sardinespool.messages.worker_reports import DropWorker
@@ -74,6 +76,7 @@
         self._machine = machine
         self._dispatcher = dispatcher
         self._status = status
+        self._order_tickets = OrderTickets()
 
     def become_leader(self, now: Instant) -> None:
         """Start the dispatcher with the current term as fencing token."""
@@ -109,13 +112,22 @@
                 return self._publish(request)
             case ReadManifest():
                 return self._read_manifest()
+            case ReadOrderTicket():
+                ticket = self._order_tickets.issue(self._status().term, now)
+                return ImmediateReply(ticket)
             case SetEvacuation():
+                self._order_tickets.accept(request, self._status().term, now)
                 _LOG.info(
                     "evacuation",
                     failure_domain=request.failure_domain,
                     evacuated=request.evacuated,
                 )
-                return Proposal(request)
+                return Proposal(
+                    SetEvacuation(
+                        failure_domain=request.failure_domain,
+                        evacuated=request.evacuated,
+                    )
+                )
             case ReportWorker():
                 check_report(request, now)
                 description = self._dispatcher.handle_heartbeat(request, now)
--- a/src/sardinespool/errors/transport.py
+++ b/src/sardinespool/errors/transport.py
@@ -51,6 +51,10 @@
     http_status = 400
 
 
+class OutdatedOrderError(TransportError):
+    """The order came after its caller had moved on; nothing was done."""
+
+
 class NotReadyError(TransportError):
     """The process hasn't synchronized since its start, or is stopping."""
 
--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -33,9 +33,11 @@
 from sardinespool.messages.jobs import SyncDomain
 from sardinespool.messages.manifest import ManifestCopy
 from sardinespool.messages.manifest import MemberList
+from sardinespool.messages.manifest import OrderTicket
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.manifest import ReadMembers
+from sardinespool.messages.manifest import ReadOrderTicket
 from sardinespool.messages.manifest import SetEvacuation
 from sardinespool.messages.requests import AbandonRequest
 from sardinespool.messages.requests import BeginReply
@@ -100,6 +102,7 @@
     | CountWaiting
     | PublishManifest
     | ReadManifest
+    | ReadOrderTicket
     | SetEvacuation
     | ReadMembers
     | ReportWorker
@@ -129,6 +132,7 @@
     | WaitingCount
     | RunsRecorded
     | ManifestCopy
+    | OrderTicket
     | MemberList
 )
 
--- a/src/sardinespool/messages/manifest.py
+++ b/src/sardinespool/messages/manifest.py
@@ -63,11 +63,41 @@
     source: bytes
 
 
+class ReadOrderTicket(Message, frozen=True, kw_only=True):
+    """Request a ticket for an order; answered by `OrderTicket`."""
+
+
+class OrderTicket(Message, frozen=True, kw_only=True):
+    """Mark of a moment on the leader of a term.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of orders with a ticket that the leader had accepted.
+    issued_boot_ms : int
+        Time on the leader's boot clock.
+    """
+
+    term: int
+    sequence: int
+    issued_boot_ms: int
+
+
 class SetEvacuation(Message, frozen=True, kw_only=True):
-    """Stop or resume sending work to a failure domain's workers."""
+    """Stop or resume sending work to a failure domain's workers.
+
+    Attributes
+    ----------
+    ticket : OrderTicket or None
+        Issued after the order was read from its caller; None in the log.
+    valid_ms : int
+        Age of the ticket up to which the order may be carried out.
+    """
 
     failure_domain: str
     evacuated: bool
+    ticket: OrderTicket | None = None
+    valid_ms: int = 0
 
 
 class ReadMembers(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/platform/control_handler.py
+++ b/src/sardinespool/platform/control_handler.py
@@ -15,12 +15,15 @@
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.worker_codec import decode_heartbeat
 from sardinespool.platform.worker_codec import decode_leave
+from sardinespool.programs.controller.timely_orders import WaitingCaller
+from sardinespool.transport import system_clock
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_server import ReceivedRequest
 
 CALL_TIMEOUT_MS = 900
-"""Below the 1 s after which clients try another machine."""
+"""Below the 1 s after which clients try another machine. An order that is
+older may have been overtaken by a later one."""
 
 _LOG = get_logger("control")
 
@@ -32,6 +35,8 @@
     ----------
     call : callable
         Calls the control group with a timeout in milliseconds.
+    send_order : callable
+        Has an order carried out while its caller waits for it.
     heartbeat_address : callable
         Returns the leader's control address, or "" if there is no leader.
     """
@@ -39,9 +44,11 @@
     def __init__(
         self,
         call: Callable[[Request, int], Awaitable[Reply]],
+        send_order: Callable[[SetEvacuation, WaitingCaller], Awaitable[Reply]],
         heartbeat_address: Callable[[], str],
     ) -> None:
         self._call = call
+        self._send_order = send_order
         self._heartbeat_address = heartbeat_address
 
     async def __call__(self, received: ReceivedRequest) -> HttpResponse:
@@ -53,7 +60,10 @@
             message = _decode_request(request)
             if message is None:
                 return json_response(404, {"error": "no-such-call"})
-            reply = await self._call(message, CALL_TIMEOUT_MS)
+            if isinstance(message, SetEvacuation):
+                reply = await self._send_order(message, _caller_of(received))
+            else:
+                reply = await self._call(message, CALL_TIMEOUT_MS)
         except SardinespoolError as error:
             response = error_response(error)
             _LOG.info(
@@ -62,6 +72,7 @@
                 code=error.code,
                 status=response.status,
                 text=error.text,
+                age_ms=system_clock.now().boot_ms - received.since_boot_ms,
             )
             return response
         if isinstance(reply, ManifestCopy):
@@ -73,6 +84,14 @@
         return json_response(200, {})
 
 
+def _caller_of(received: ReceivedRequest) -> WaitingCaller:
+    return WaitingCaller(
+        since_boot_ms=received.since_boot_ms,
+        until_boot_ms=received.since_boot_ms + CALL_TIMEOUT_MS,
+        has_left=received.has_client_left,
+    )
+
+
 def _decode_request(request: HttpRequest) -> Request | None:
     parts = tuple(request.target.partition("?")[0].strip("/").split("/"))
     match request.method, parts:
--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -16,6 +16,9 @@
 from sardinespool.programs.controller.settings import (
     ControlGroupMemberSettings,
 )
+from sardinespool.programs.controller.timely_orders import TimelyOrders
+from sardinespool.transport import system_clock
+from sardinespool.transport.arrivals import LoopWatch
 from sardinespool.transport.http_server import HttpListener
 from sardinespool.transport.http_server import ServerLimits
 from sardinespool.transport.indexed_http_connections import (
@@ -66,13 +69,19 @@
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until `stopping` is set, then shut down gracefully."""
+        watch = LoopWatch(system_clock.now)
         control_server = HttpListener(
             self._settings.listen.control,
             FaultBarrier(
-                ControlHandler(self._controller.call, self._heartbeat_address),
+                ControlHandler(
+                    self._controller.call,
+                    TimelyOrders(self._controller.call, system_clock.now).send,
+                    self._heartbeat_address,
+                ),
                 _LOG,
             ),
             ServerLimits(BODY_LIMIT_BYTES),
+            watch=watch,
         )
         status_server = StatusServer(
             self._settings.status_address,
@@ -82,6 +91,7 @@
             dump=self._controller.describe,
         )
         self._controller.start()
+        watch.start()
         control_server.start()
         status_server.start()
         _LOG.info(
@@ -103,6 +113,7 @@
         control_server.close_after_responses()
         await control_server.wait_for_connections(LINGER_S)
         await control_server.stop()
+        watch.stop()
         await self._controller.stop()
         await status_server.stop()
         _LOG.info("stopped", node=self._settings.node)
--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -12,6 +12,7 @@
 from sardinespool.errors.storage import CorruptLogError
 from sardinespool.errors.storage import StorageError
 from sardinespool.errors.transport import NotReadyError
+from sardinespool.errors.transport import OutdatedOrderError
 from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.codec import Reply
@@ -146,7 +147,11 @@
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
         try:
             return await self._client.call(request, deadline_unix_ms)
-        except (GroupUnavailableError, ServiceFaultError) as error:
+        except (
+            GroupUnavailableError,
+            OutdatedOrderError,
+            ServiceFaultError,
+        ) as error:
             # Only the last attempt is known to have had no effect.
             if not sent:
                 raise
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -14,6 +14,7 @@
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.errors.transport import NotReadyError
+from sardinespool.errors.transport import OutdatedOrderError
 from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.errors.transport import UnreachableError
 from sardinespool.messages import codec
@@ -41,7 +42,8 @@
 class GroupClient:
     """Finds the leader of a group and retries until the deadline.
 
-    Every request is safe to resend, because the group detects duplicates.
+    Every request is safe to resend, because the group detects duplicates, or
+    refuses what has lost its place (`OutdatedOrderError`).
 
     Parameters
     ----------
@@ -157,7 +159,7 @@
                 self._select_next_member(
                     name, str(error.details.get("leader", ""))
                 )
-            except ServiceFaultError as error:
+            except (ServiceFaultError, OutdatedOrderError) as error:
                 if not sent:
                     raise
                 # Only this attempt is known to have had no effect.
--- a/src/sardinespool/transport/http_server.py
+++ b/src/sardinespool/transport/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import http.client
 import ssl
 from collections.abc import Awaitable
@@ -16,8 +17,12 @@
 from tornado.netutil import bind_sockets
 
 from sardinespool.settings.addresses import split_address
+from sardinespool.transport import system_clock
+from sardinespool.transport.arrivals import ArrivalRecorder
+from sardinespool.transport.arrivals import LoopWatch
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
+from sardinespool.transport.http_stream import is_closed_by_peer
 
 _DRAIN_LIMIT_FACTOR = 8
 """Bodies over the limit are read and discarded up to 8 times the limit.
@@ -50,10 +55,22 @@
     """A request as it was received.
 
     If `too_large`, the body exceeded the limit and `request.body` is empty.
+
+    Attributes
+    ----------
+    since_boot_ms : int
+        Time after which its first byte arrived, if the listener has a watch;
+        else when it was read.
+    has_client_left : callable
+        Whether the client has closed the connection.
     """
 
     request: HttpRequest
     too_large: bool = False
+    since_boot_ms: int = dataclasses.field(
+        default_factory=lambda: system_clock.now().boot_ms
+    )
+    has_client_left: Callable[[], bool] = lambda: False
 
 
 Handler = Callable[[ReceivedRequest], Awaitable[HttpResponse]]
@@ -72,6 +89,8 @@
         Limits of requests.
     tls_context : ssl.SSLContext or None
         Server-side TLS context; None for plain TCP.
+    watch : LoopWatch or None
+        Tells when requests arrived.
     """
 
     def __init__(
@@ -80,6 +99,7 @@
         handler: Handler,
         limits: ServerLimits,
         tls_context: ssl.SSLContext | None = None,
+        watch: LoopWatch | None = None,
     ) -> None:
         self._address = address
         self._handler = handler
@@ -88,6 +108,8 @@
         self._receiving: set[_RequestReceiver] = set()
         self._received = asyncio.Event()
         self._closing = False
+        self._watch = watch
+        self._arrivals: dict[object, ArrivalRecorder] = {}
         self._server = _WaitingServer(
             self,
             ssl_options=tls_context,
@@ -188,7 +210,18 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of the next request on a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return _RequestReceiver(self, request_conn)
+        arrival = None
+        if self._watch is not None:
+            arrival = self._arrivals.get(server_conn)
+            if arrival is None:
+                arrival = ArrivalRecorder(request_conn.stream, self._watch)
+                self._arrivals[server_conn] = arrival
+            arrival.expect_request()
+        return _RequestReceiver(self, request_conn, arrival)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has ended."""
+        self._arrivals.pop(server_conn, None)
 
     def add_receiving(self, receiver: "_RequestReceiver") -> None:
         """Note that a request has begun to arrive."""
@@ -282,10 +315,14 @@
     """Collects one request and dispatches it to the listener."""
 
     def __init__(
-        self, listener: HttpListener, connection: HTTP1Connection
+        self,
+        listener: HttpListener,
+        connection: HTTP1Connection,
+        arrival: ArrivalRecorder | None,
     ) -> None:
         self._listener = listener
         self._connection = connection
+        self._arrival = arrival
         self._start_line: httputil.RequestStartLine | None = None
         self._headers: httputil.HTTPHeaders | None = None
         self._body = bytearray()
@@ -343,6 +380,17 @@
             tuple(self._headers.get_all()),
             bytes(self._body),
         )
+        since_boot_ms = (
+            system_clock.now().boot_ms
+            if self._arrival is None
+            else self._arrival.earliest_arrival_boot_ms
+        )
         self._listener.respond(
-            self._connection, ReceivedRequest(request, too_large)
+            self._connection,
+            ReceivedRequest(
+                request,
+                too_large,
+                since_boot_ms,
+                functools.partial(is_closed_by_peer, self._connection.stream),
+            ),
         )
--- a/src/sardinespool/transport/http_stream.py
+++ b/src/sardinespool/transport/http_stream.py
@@ -4,6 +4,7 @@
 import ssl
 from typing import Any
 
+from tornado.iostream import BaseIOStream
 from tornado.iostream import IOStream
 from tornado.iostream import SSLIOStream
 
@@ -38,14 +39,7 @@
             bytes arrived, ``closed`` if the peer closed or reset the
             connection.
         """
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            data = self.socket.recv(1, flags)
-        except BlockingIOError:
-            return "quiet"
-        except OSError:
-            return "closed"
-        return "data" if data else "closed"
+        return _peek(self.socket)
 
 
 class CountingTlsStream(SSLIOStream):
@@ -69,6 +63,29 @@
         return "quiet"
 
 
+def is_closed_by_peer(stream: BaseIOStream) -> bool:
+    """Return whether the peer has closed a connection.
+
+    A TLS stream can't be peeked at; it is closed once that was read.
+    """
+    return stream.closed() or (
+        isinstance(stream, IOStream)
+        and not isinstance(stream, SSLIOStream)
+        and _peek(stream.socket) == "closed"
+    )
+
+
+def _peek(connection: socket.socket) -> str:
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        data = connection.recv(1, flags)
+    except BlockingIOError:
+        return "quiet"
+    except OSError:
+        return "closed"
+    return "data" if data else "closed"
+
+
 HttpStream = CountingStream | CountingTlsStream
 
 
--- a/testing/platform/test_fault_barrier.py
+++ b/testing/platform/test_fault_barrier.py
@@ -24,11 +24,13 @@
 from sardinespool.platform.caller_handler import CallerMetrics
 from sardinespool.platform.control_handler import ControlHandler
 from sardinespool.platform.fault_barrier import FaultBarrier
+from sardinespool.programs.controller.timely_orders import TimelyOrders
 from sardinespool.programs.store.group_endpoint import GroupEndpoint
 from sardinespool.programs.store.store_metrics import StoreMetrics
 from sardinespool.replication.messages import encode_peer_message
 from sardinespool.replication.messages import Header
 from sardinespool.replication.messages import TimeoutNow
+from sardinespool.transport import system_clock
 from sardinespool.transport.connector import Connector
 from sardinespool.transport.frame_server import FrameServer
 from sardinespool.transport.frames import encode_frame
@@ -86,7 +88,9 @@
 
 
 def make_core(group: FakeGroup) -> Any:
-    return ControlHandler(group.call, lambda: "")
+    return ControlHandler(
+        group.call, TimelyOrders(group.call, system_clock.now).send, lambda: ""
+    )
 
 
 async def post(
--- a/testing/platform/test_handlers.py
+++ b/testing/platform/test_handlers.py
@@ -27,6 +27,7 @@
 from sardinespool.platform.caller_handler import CallerHandler
 from sardinespool.platform.caller_handler import CallerMetrics
 from sardinespool.platform.control_handler import ControlHandler
+from sardinespool.programs.controller.timely_orders import WaitingCaller
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_server import ReceivedRequest
@@ -51,6 +52,9 @@
             raise self.reply
         return self.reply
 
+    async def send_order(self, order: Any, caller: WaitingCaller) -> Any:
+        return await self.call(order, 0)
+
 
 def call_front(
     group: FakeGroup, method: str, target: str, body: bytes = b""
@@ -65,7 +69,9 @@
 def call_core(
     group: FakeGroup, method: str, target: str, body: bytes = b""
 ) -> HttpResponse:
-    handler = ControlHandler(group.call, lambda: "10.0.0.4:8080")
+    handler = ControlHandler(
+        group.call, group.send_order, lambda: "10.0.0.4:8080"
+    )
     request = HttpRequest(method, target, REQUEST_HEADERS, body)
     return asyncio.run(handler(ReceivedRequest(request)))
 
