Give up planned starts on drained and evacuated workers

Tasks could start in an evacuated zone or on a draining worker long after operators and workers had the acknowledgement, if the start had been held up until then.

Cause: only the planner asked for drains and evacuations; the queue of orders sent what was assigned before, also for the next leader. Ruled out: an assignment after the evacuation (none was made).

Change: such a worker gets no start.

--- a/src/sardinespool/dispatch/excess_starts.py
+++ b/src/sardinespool/dispatch/excess_starts.py
@@ -1,7 +1,8 @@
-"""Cancellation of starts that no longer fit, as a worker's capacity shrank.
+"""Cancellation of planned starts that a worker must not get any more.
 
-While more is reserved on a worker than its capacity, or its capacity is not
-known, `OrderQueue` sends it no start. Runs that have started go on.
+While more is reserved on a worker than its capacity, its capacity is not
+known, it drains or its failure domain is evacuated, `OrderQueue` sends it no
+start. Runs that have started go on.
 """
 
 from sardinespool.clock import Instant
@@ -13,17 +14,18 @@
 def cancel_excess_starts(
     fleet: Fleet, control: RunControl, now: Instant
 ) -> None:
-    """End runs whose start was never sent until the others fit.
+    """End runs whose start was never sent until no obstacle is left.
 
-    The latest ones are cancelled first. Their resources are free at once, as
-    no order for them can arrive. On a worker without a recent heartbeat, all
-    are cancelled.
+    The latest ones are cancelled first, until the others fit; on a worker
+    that drains, is evacuated or has no recent heartbeat, all are. Their
+    resources are free at once, as no order for them can arrive.
     """
     for worker in fleet.workers.values():
-        if not worker.pending or not fleet.must_cancel_starts(worker, now):
+        if not worker.pending or not fleet.start_obstacle(worker, now):
             continue
         for run in reversed(list(worker.pending.values())):
-            if not fleet.must_cancel_starts(worker, now):
+            obstacle = fleet.start_obstacle(worker, now)
+            if not obstacle:
                 break
             if (
                 run.phase is RunPhase.ORDERED
@@ -31,7 +33,5 @@
                 and not run.sent
                 and not run.stop_requested
             ):
-                control.end_run(
-                    worker, run, "lost", "capacity shrank or unknown"
-                )
+                control.end_run(worker, run, "lost", obstacle)
                 worker.remove_run(run)
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -319,8 +319,7 @@
             worker.answered
             and worker.reconciled
             and worker.clock.known
-            and not description.draining
-            and description.failure_domain not in self._machine.evacuated
+            and not self._vacated_because(worker)
             and description.pool not in self._machine.manifest.spare_pools
             and now.boot_ms >= worker.avoid_until_boot_ms
             and self.has_recent_report(worker, now)
@@ -345,23 +344,43 @@
         )
 
     def may_send_start(self, worker: WorkerState, now: Instant) -> bool:
-        """Return whether the reservations fit into a known capacity."""
-        return not worker.is_overcommitted and self.has_recent_report(
-            worker, now
+        """Return whether a planned start may still be sent to a worker.
+
+        Its reservations must fit into a known capacity.
+        """
+        return (
+            not self._vacated_because(worker)
+            and not worker.is_overcommitted
+            and self.has_recent_report(worker, now)
         )
 
-    def must_cancel_starts(self, worker: WorkerState, now: Instant) -> bool:
-        """Return whether starts that were not sent must not wait any longer.
+    def start_obstacle(self, worker: WorkerState, now: Instant) -> str:
+        """Return why starts that were not sent must not wait any longer.
 
-        The workers of a new leader have `heartbeat_age_max_ms` to report.
+        Empty if they may wait. The workers of a new leader have
+        `heartbeat_age_max_ms` to report.
         """
+        vacated_because = self._vacated_because(worker)
+        if vacated_because:
+            return vacated_because
         silent_ms = now.boot_ms - self.heartbeat_boot_ms.get(
             worker.worker_id, now.boot_ms
         )
-        return (
+        if (
             worker.is_overcommitted
             or silent_ms >= self._settings.heartbeat_age_max_ms
-        )
+        ):
+            return "capacity shrank or unknown"
+        return ""
+
+    def _vacated_because(self, worker: WorkerState) -> str:
+        """Return why a worker must get no starts, planned or not, or ""."""
+        description = worker.description
+        if description.draining:
+            return "worker drains"
+        if description.failure_domain in self._machine.evacuated:
+            return "failure domain evacuated"
+        return ""
 
     def was_heard_recently(self, worker: WorkerState, now: Instant) -> bool:
         """Return whether a heartbeat or answer arrived recently."""
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -249,6 +249,12 @@
         result = self._apply(outcome.body)
         self.service.on_applied(outcome.body, result, self.now())
 
+    def request_applied(self, body: CommandBody) -> None:
+        """Commit a command at once and tell the leader, if there is one."""
+        result = self._apply(body)
+        if self.serving:
+            self.service.on_applied(body, result, self.now())
+
     def drop_worker(self, worker_id: str) -> None:
         """Commit the leave of a worker that the leader learns of no more."""
         incarnation = self.workers[worker_id].incarnation
