Split the schedule of estimates out of the dispatcher

When estimates are committed is a subject of its own, and the state of a departed worker belongs beside WorkerState.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -157,7 +157,7 @@
         """Run a planning pass and return the commands to propose."""
         commands = (
             self._dispatcher.plan(now),
-            self._dispatcher.estimates_due(now),
+            self._dispatcher.estimates.take_due(now),
         )
         return [command for command in commands if command is not None]
 
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.end_queue import EndQueue
+from sardinespool.dispatch.estimates_schedule import EstimatesSchedule
 from sardinespool.dispatch.excess_starts import cancel_excess_starts
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
@@ -30,7 +31,6 @@
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
-from sardinespool.messages.estimates import RecordEstimates
 from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import RecordRuns
@@ -38,10 +38,6 @@
 from sardinespool.messages.workflows import RunsRecorded
 from sardinespool.observability.logs import get_logger
 
-ESTIMATES_INTERVAL_MS = 5_000
-"""Interval between commits of the estimates. A leader without them interferes
-with serving tasks for about ten seconds while it learns all pairs again."""
-
 _LOG = get_logger("dispatch")
 
 
@@ -77,8 +73,8 @@
         self.fleet = Fleet(
             machine, settings, self.end_run, CrashRecorder(metrics)
         )
-        self._model = model = TailModel()
-        self._estimates_due_boot_ms = 0
+        model = TailModel()
+        self.estimates = EstimatesSchedule(machine, model)
         self.health = WorkerHealth()
         self._begun_jobs = BegunJobs(self.fleet)
         self._answers = AnswerHandler(
@@ -109,8 +105,7 @@
         self._reset()
         self.orders.fencing_token = fencing_token
         self.orders.fenced = False
-        self._model.restore(self._machine.estimates, now.boot_ms)
-        self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
+        self.estimates.begin(now)
         self.fleet.begin(now)
         self._run_checks.begin(now)
         run_log.log_leadership(
@@ -328,19 +323,6 @@
         )
         return self._proposed
 
-    def estimates_due(self, now: Instant) -> RecordEstimates | None:
-        """Return the estimates to commit, or None if none are due."""
-        if now.boot_ms < self._estimates_due_boot_ms:
-            return None
-        self._estimates_due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
-        estimates = self._model.estimates()
-        if (
-            not estimates.pair_estimates
-            or estimates == self._machine.estimates
-        ):
-            return None
-        return estimates
-
     def recorded(
         self, applied: RecordRuns, result: RunsRecorded, now: Instant
     ) -> None:
--- /dev/null
+++ b/src/sardinespool/dispatch/estimates_schedule.py
@@ -0,0 +1,45 @@
+"""When the interference estimates of the leader are committed."""
+
+from sardinespool.clock import Instant
+from sardinespool.dispatch.tail_model import TailModel
+from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.estimates import RecordEstimates
+
+ESTIMATES_INTERVAL_MS = 5_000
+"""Interval between commits of the estimates. A leader without them interferes
+with serving tasks for about ten seconds while it learns all pairs again."""
+
+
+class EstimatesSchedule:
+    """Restores the estimates at the start of a leadership and commits them.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        Replicated state with the estimates of earlier leaders.
+    model : TailModel
+        Model of this leader.
+    """
+
+    def __init__(self, machine: ControlMachine, model: TailModel) -> None:
+        self._machine = machine
+        self._model = model
+        self._due_boot_ms = 0
+
+    def begin(self, now: Instant) -> None:
+        """Take over the committed estimates."""
+        self._model.restore(self._machine.estimates, now.boot_ms)
+        self._due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
+
+    def take_due(self, now: Instant) -> RecordEstimates | None:
+        """Return the estimates to commit, or None if none are due."""
+        if now.boot_ms < self._due_boot_ms:
+            return None
+        self._due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
+        estimates = self._model.estimates()
+        if (
+            not estimates.pair_estimates
+            or estimates == self._machine.estimates
+        ):
+            return None
+        return estimates
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -8,6 +8,7 @@
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_restart import EndRun
+from sardinespool.dispatch.worker_state import departed_worker
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.worker_reports import keep_draining
@@ -111,22 +112,7 @@
 
         That leader was lost before it committed their ends.
         """
-        departed = WorkerState(
-            WorkerDescription(
-                worker_id=worker_id,
-                incarnation=0,
-                address="",
-                pool="",
-                failure_domain="",
-                host="",
-                labels=(),
-                processors_millicores=0,
-                memory_mb=0,
-                accelerators=0,
-            ),
-            self._settings,
-            0,
-        )
+        departed = departed_worker(worker_id, self._settings)
         for run in runs:
             self._end_run(departed, run, "lost", Loss.LEFT.value)
 
@@ -360,9 +346,6 @@
         Empty if they may wait. The workers of a new leader have
         `heartbeat_age_max_ms` to report.
         """
-        vacated_because = self._vacated_because(worker)
-        if vacated_because:
-            return vacated_because
         silent_ms = now.boot_ms - self.heartbeat_boot_ms.get(
             worker.worker_id, now.boot_ms
         )
@@ -371,7 +354,7 @@
             or silent_ms >= self._settings.heartbeat_age_max_ms
         ):
             return "capacity shrank or unknown"
-        return ""
+        return self._vacated_because(worker)
 
     def _vacated_because(self, worker: WorkerState) -> str:
         """Return why a worker must get no starts, planned or not, or ""."""
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -283,3 +283,20 @@
             else:
                 self.serving_images.pop(image, None)
         self.busy_millicores -= sign * busy_millicores
+
+
+def departed_worker(worker_id: str, settings: DispatchSettings) -> WorkerState:
+    """Return the state of a worker of which no description is left."""
+    description = WorkerDescription(
+        worker_id=worker_id,
+        incarnation=0,
+        address="",
+        pool="",
+        failure_domain="",
+        host="",
+        labels=(),
+        processors_millicores=0,
+        memory_mb=0,
+        accelerators=0,
+    )
+    return WorkerState(description, settings, 0)
