Replace a voter with a lost disk in one step, on proof

Cause: the lost identity stayed a voter until it had been silent for 1.5 s under one leader, counted anew after each election, and was replaced in two steps.

Change: who asks to join is a learner at once. A learner that answers proves that the voter of its name is gone, as one process at a time uses a name, and takes its place in one step. A new leader admits those that asked before its election. Heartbeats to a member that is probed repeat no entries, which filled links that lose packets.

--- a/src/sardinespool/replication/bootstrap.py
+++ b/src/sardinespool/replication/bootstrap.py
@@ -36,6 +36,7 @@
         self._next_request_boot_ms = now.boot_ms
         self._bootstrap_replies: dict[str, tuple[str, int]] = {}
         self._known_identities: dict[str, str] = {}
+        self._requested_boot_ms: dict[str, int] = {}
         self._discovered_peers: set[str] = set()
         self._group_exists = False
 
@@ -91,10 +92,23 @@
                 ),
             )
 
-    def on_request(self, request: JoinRequest) -> None:
+    def recent_requesters(self, now: Instant) -> list[str]:
+        """Return the identities that send join requests now.
+
+        A new leader needs not wait for their next requests.
+        """
+        interval_ms = self._raft.settings.join_interval_ms
+        return [
+            self._known_identities[name]
+            for name, requested_boot_ms in self._requested_boot_ms.items()
+            if now.boot_ms < requested_boot_ms + 2 * interval_ms
+        ]
+
+    def on_request(self, request: JoinRequest, now: Instant) -> None:
         """Reply with the members known to this replica."""
         raft = self._raft
         sender = request.header.sender
+        self._requested_boot_ms[member_name(sender)] = now.boot_ms
         self._known_identities[member_name(sender)] = sender
         configuration = raft.configuration
         raft.send(
--- a/src/sardinespool/replication/leadership.py
+++ b/src/sardinespool/replication/leadership.py
@@ -97,7 +97,7 @@
                 configuration,
                 lambda identity: self._progress[identity].match_index,
                 self._responsive_members(now),
-                self._unresponsive_members(now),
+                self._members_since_joining(configuration),
             )
             if change is None and raft.settings.open_membership:
                 dead = self._dead_members(now)
@@ -118,7 +118,6 @@
                     self._raft.identity,
                     identity,
                     self._raft.log.last_index,
-                    self._unresponsive_members(now),
                 ),
                 now,
             )
@@ -269,11 +268,20 @@
             and now.boot_ms < progress.acknowledged_boot_ms + timeout_ms
         )
 
-    def _unresponsive_members(self, now: Instant) -> set[str]:
-        timeout_ms = self._raft.settings.election_timeout_max_ms
-        if now.boot_ms < self._elected_boot_ms + timeout_ms:
-            return set()
-        return self._progress.keys() - self._responsive_members(now)
+    def _members_since_joining(self, configuration: Configuration) -> set[str]:
+        """Return the members that were up after the learner was added."""
+        since_boot_ms = max(
+            (
+                self._progress[learner.identity].tracked_boot_ms
+                for learner in configuration.learners
+            ),
+            default=0,
+        )
+        return {self._raft.identity}.union(
+            identity
+            for identity, progress in self._progress.items()
+            if (progress.acknowledged_boot_ms or 0) > since_boot_ms
+        )
 
     def _dead_members(self, now: Instant) -> set[str]:
         """Return the members that are considered dead.
--- a/src/sardinespool/replication/log_sender.py
+++ b/src/sardinespool/replication/log_sender.py
@@ -90,10 +90,9 @@
             self._send_chunk(identity, progress, now)
             self._send_append(identity, 0, 0, (), 0, now)
             return
-        if progress.probing:
-            self._send_entries(identity, progress, now)
-            progress.probe_in_flight = True
-            return
+        # Without entries, also as a probe: those that are in flight would fill
+        # a slow link once more with each heartbeat.
+        progress.probe_in_flight = progress.probing
         previous_index = progress.next_index - 1
         previous_term = self._raft.log.term_at(previous_index)
         assert previous_term is not None
--- a/src/sardinespool/replication/membership.py
+++ b/src/sardinespool/replication/membership.py
@@ -13,10 +13,13 @@
     leader: str,
     identity: str,
     catch_up_index: int,
-    unresponsive: set[str],
 ) -> Configuration | None:
     """Return a configuration with `identity` as learner, if allowed now.
 
+    A learner changes no quorum, so it is added at once, also beside a voter
+    of the same name: that one may have lost its disk, or the request may be
+    an old one.
+
     Parameters
     ----------
     configuration : Configuration
@@ -27,8 +30,6 @@
         Identity of the member that sent a join request.
     catch_up_index : int
         Last index of the leader's log.
-    unresponsive : set of str
-        Members that have not acknowledged the leader recently.
 
     Returns
     -------
@@ -44,9 +45,6 @@
         if member_name(learner.identity) == name:
             return remove_learner(configuration, learner.identity)
         return None
-    old_identity = configuration.find_voter(name)
-    if old_identity is not None and old_identity not in unresponsive:
-        return None
     return Configuration(
         configuration.initial_members,
         configuration.voters,
@@ -58,46 +56,53 @@
     configuration: Configuration,
     match_index_of: Callable[[str], int],
     responsive: set[str],
-    unresponsive: set[str],
+    present: set[str],
 ) -> Configuration | None:
     """Return the next step of promoting a learner to a voter, if due.
 
-    `responsive` members have acknowledged the leader within the timeout;
-    `unresponsive` ones have not. Under a new leader, a member may be in
-    neither set.
+    A learner that answers proves that the voter of the same name is gone
+    for good: one process at a time uses a name, and its identity was lost
+    with its disk. So one step replaces the voter by the learner. All quorums
+    that can still form without the lost identity share a member with each
+    quorum of the result, and the learner has the entries for which the lost
+    identity may have been needed. No moment depends on two of three disks.
 
-    The old identity of the same name is removed only if the responsive
-    voters are a majority of the current voters. Otherwise the smaller
-    configuration could commit what the current one can't.
+    Parameters
+    ----------
+    configuration : Configuration
+        Current configuration.
+    match_index_of : callable
+        Returns the last index that a learner's log is known to match.
+    responsive : set of str
+        Members that have acknowledged the leader within the timeout. Under a
+        new leader, a member that is up may not be in it yet.
+    present : set of str
+        Members that have acknowledged a message that was sent since the
+        leader tracks the learners, and the leader.
     """
     for learner in configuration.learners:
         identity = learner.identity
         old_identity = configuration.find_voter(member_name(identity))
-        if old_identity is not None and old_identity in responsive:
+        if old_identity is not None and old_identity in present:
             return remove_learner(configuration, identity)
         if (
             identity not in responsive
             or match_index_of(identity) < learner.catch_up_index
         ):
             return None
-        if old_identity is None:
-            return Configuration(
-                configuration.initial_members,
-                tuple(sorted((*configuration.voters, identity))),
-            )
-        if old_identity not in unresponsive:
-            return None
         remaining = responsive.intersection(configuration.voters)
-        if len(remaining) < configuration.majority:
+        if (
+            old_identity is not None
+            and len(remaining) < configuration.majority
+        ):
             return None
         return Configuration(
             configuration.initial_members,
             tuple(
-                voter
-                for voter in configuration.voters
-                if voter != old_identity
+                sorted(
+                    {*configuration.voters, identity} - {old_identity or ""}
+                )
             ),
-            configuration.learners,
         )
     return None
 
--- a/src/sardinespool/replication/replica.py
+++ b/src/sardinespool/replication/replica.py
@@ -137,9 +137,16 @@
             self._bootstrap.request_rejoin(now)
         if self._leadership is not None:
             self._leadership.tick(now)
+            self._admit_requesters(now)
         elif self._election.tick(now):
             self._become_leader(now)
 
+    def _admit_requesters(self, now: Instant) -> None:
+        if self._leadership is None:
+            return
+        for identity in self._bootstrap.recent_requesters(now):
+            self._leadership.consider_join_request(identity, now)
+
     def _propose(self, payloads: tuple[bytes, ...], now: Instant) -> None:
         raft = self._raft
         index = None
@@ -198,11 +205,8 @@
         raft = self._raft
         match message:
             case JoinRequest():
-                self._bootstrap.on_request(message)
-                if self._leadership is not None:
-                    self._leadership.consider_join_request(
-                        message.header.sender, now
-                    )
+                self._bootstrap.on_request(message, now)
+                self._admit_requesters(now)
             case JoinReply():
                 self._bootstrap.on_reply(message, now)
             case PreVoteRequest():
--- a/testing/replication/test_single_replica.py
+++ b/testing/replication/test_single_replica.py
@@ -219,6 +219,27 @@
     assert sizes == [200_000] * 3
 
 
+def test_heartbeats_of_a_silent_member_repeat_no_entries() -> None:
+    """Guards against probes that fill a slow link with copies of entries."""
+    driver = ReplicaDriver()
+    driver.lead()
+    driver.acknowledge(3)
+    driver.handle(Propose((bytes(100_000),) * 2))
+    effects: list[Effect] = []
+    for at_ms in range(LATER_MS, LATER_MS + 2_000, 50):
+        effects += driver.acknowledge(5, at_ms, at_ms)
+        effects += driver.handle(Tick(), at_ms)
+    appends = [
+        effect.message
+        for effect in effects
+        if isinstance(effect, Send)
+        and isinstance(effect.message, AppendEntries)
+        and effect.message.header.recipient == "c#1"
+    ]
+    assert len(appends) > 10
+    assert [len(append.entries) for append in appends if append.entries] == []
+
+
 @pytest.mark.parametrize(
     "changed",
     [
