Let one of two simultaneous candidates go on

With two of three voters, each split vote is fatal for its term and costs an election timeout. Ruled out: refused votes for an older log (term 5 was won by the same member with the same log).

Change: of two pre-candidates only the one with the longer log, then the higher identity, goes on. Who grants a pre-vote waits four heartbeat intervals. Requests are repeated each heartbeat interval until granted, so that a lost packet is noticed.

Evidence: 5 cases of test_elections fail without the change and all pass with it.

--- a/src/sardinespool/replication/election.py
+++ b/src/sardinespool/replication/election.py
@@ -15,6 +15,8 @@
     def __init__(self, raft: RaftState) -> None:
         self._raft = raft
         self._granted_by: set[str] = set()
+        self._transfer = False
+        self._repeat_due_boot_ms = 0
 
     def tick(self, now: Instant) -> bool:
         """Start an election on timeout; return whether it is won."""
@@ -26,6 +28,13 @@
             return self.campaign(now, transfer=False)
         if now.boot_ms >= raft.election_deadline_boot_ms:
             self._request_pre_votes(now)
+        elif (
+            raft.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
+            and now.boot_ms >= self._repeat_due_boot_ms
+        ):
+            # On a link that loses packets, a lost request or reply is sent
+            # again sooner if others follow it.
+            self._send_requests(now)
         return False
 
     def campaign(self, now: Instant, transfer: bool) -> bool:
@@ -42,30 +51,34 @@
         raft.set_term(raft.term + 1, raft.identity)
         raft.reset_election_timer(now)
         self._granted_by = {raft.identity}
-        for voter in self._other_voters():
-            raft.send(
-                voter,
-                VoteRequest(
-                    header=raft.header(voter),
-                    last_index=raft.log.last_index,
-                    last_term=raft.log.last_term,
-                    configuration_index=raft.log.configuration_index,
-                    transfer=transfer,
-                ),
-            )
+        self._transfer = transfer
+        self._send_requests(now)
         return self._has_majority()
 
     def on_pre_vote_request(
-        self, request: PreVoteRequest, leader_is_alive: bool
+        self, request: PreVoteRequest, now: Instant, leader_is_alive: bool
     ) -> None:
-        """Reply to a pre-vote request; term and vote stay unchanged."""
+        """Reply to a pre-vote request; term and vote stay unchanged.
+
+        Who grants one leaves the sender some time to be elected. Of two that
+        request pre-votes at once, only one goes on: with one voter of three
+        lost, neither could win against the other.
+        """
         raft = self._raft
+        sender = request.header.sender
         granted = (
             request.proposed_term > raft.term
             and not leader_is_alive
             and self._is_log_up_to_date(request.last_index, request.last_term)
+            and (
+                raft.role is not Role.PRE_CANDIDATE
+                or self._precedes(request, sender)
+            )
         )
-        sender = request.header.sender
+        if granted:
+            if raft.role is Role.PRE_CANDIDATE:
+                raft.become_follower(raft.term, "", now)
+            raft.postpone_election(now)
         raft.send(
             sender,
             PreVoteReply(
@@ -133,17 +146,48 @@
         raft.leader = ""
         raft.reset_election_timer(now)
         self._granted_by = {raft.identity}
+        self._send_requests(now)
+
+    def _send_requests(self, now: Instant) -> None:
+        """Send the requests of this election that are not granted yet."""
+        raft = self._raft
+        self._repeat_due_boot_ms = (
+            now.boot_ms + raft.settings.heartbeat_interval_ms
+        )
         for voter in self._other_voters():
-            raft.send(
-                voter,
-                PreVoteRequest(
-                    header=raft.header(voter),
-                    proposed_term=raft.term + 1,
-                    last_index=raft.log.last_index,
-                    last_term=raft.log.last_term,
-                    configuration_index=raft.log.configuration_index,
-                ),
-            )
+            if voter in self._granted_by:
+                continue
+            if raft.role is Role.CANDIDATE:
+                raft.send(
+                    voter,
+                    VoteRequest(
+                        header=raft.header(voter),
+                        last_index=raft.log.last_index,
+                        last_term=raft.log.last_term,
+                        configuration_index=raft.log.configuration_index,
+                        transfer=self._transfer,
+                    ),
+                )
+            else:
+                raft.send(
+                    voter,
+                    PreVoteRequest(
+                        header=raft.header(voter),
+                        proposed_term=raft.term + 1,
+                        last_index=raft.log.last_index,
+                        last_term=raft.log.last_term,
+                        configuration_index=raft.log.configuration_index,
+                    ),
+                )
+
+    def _precedes(self, request: PreVoteRequest, sender: str) -> bool:
+        """Return whether the sender goes first of two pre-candidates."""
+        raft = self._raft
+        return (request.last_term, request.last_index, sender) > (
+            raft.log.last_term,
+            raft.log.last_index,
+            raft.identity,
+        )
 
     def _other_voters(self) -> list[str]:
         configuration = self._raft.configuration
--- a/src/sardinespool/replication/raft_state.py
+++ b/src/sardinespool/replication/raft_state.py
@@ -20,6 +20,9 @@
 from sardinespool.replication.state import Snapshot
 from sardinespool.replication.status import Role
 
+ELECTION_HEARTBEATS = 4
+"""Heartbeat intervals that an election is given before another one starts."""
+
 
 class RaftState:
     """Term, vote, role, log and timers of a replica.
@@ -127,6 +130,14 @@
             self.settings.election_timeout_max_ms,
         )
 
+    def postpone_election(self, now: Instant) -> None:
+        """Leave another candidate some round trips, also with lost packets."""
+        self.election_deadline_boot_ms = max(
+            self.election_deadline_boot_ms,
+            now.boot_ms
+            + ELECTION_HEARTBEATS * self.settings.heartbeat_interval_ms,
+        )
+
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Append entries to the log and persist them."""
         self.log.append(entries)
--- a/src/sardinespool/replication/replica.py
+++ b/src/sardinespool/replication/replica.py
@@ -211,7 +211,7 @@
                 self._bootstrap.on_reply(message, now)
             case PreVoteRequest():
                 self._election.on_pre_vote_request(
-                    message, self._is_leader_alive(now)
+                    message, now, self._is_leader_alive(now)
                 )
             case VoteRequest():
                 self._election.on_vote_request(
