Name the passes of the event loop in LoopWatch

Cause: a newcomer's read of the diff: `start` was its own timer callback, and nothing said why the reader of a stream is replaced on the instance.

No behaviour changes; testing/transport/test_arrivals.py passes (10).

--- a/src/sardinespool/transport/arrivals.py
+++ b/src/sardinespool/transport/arrivals.py
@@ -43,16 +43,19 @@
 
     def start(self) -> None:
         """Watch the running event loop until `stop`."""
-        self._boot_ms.append(self._clock().boot_ms)
-        self._handle = asyncio.get_running_loop().call_later(
-            WATCH_INTERVAL_MS / 1000, self.start
-        )
+        self._record_pass()
 
     def stop(self) -> None:
         """Stop watching."""
         if self._handle is not None:
             self._handle.cancel()
 
+    def _record_pass(self) -> None:
+        self._boot_ms.append(self._clock().boot_ms)
+        self._handle = asyncio.get_running_loop().call_later(
+            WATCH_INTERVAL_MS / 1000, self._record_pass
+        )
+
 
 class ArrivalRecorder:
     """Records when the first byte of the request on a stream arrived.
@@ -69,6 +72,7 @@
         self._stream = stream
         self._watch = watch
         self._first_boot_ms: int | None = None
+        # The server creates its streams itself and takes no class for them.
         self._read_from_fd = stream.read_from_fd
         setattr(stream, "read_from_fd", self._read)  # noqa: B010
 
