--- a/src/sardinespool/messages/manifest.py
+++ b/src/sardinespool/messages/manifest.py
@@ -20,6 +20,8 @@
     stretch : float
         The completion objective of a job is `stretch` times its critical
         path plus `latency_objective_ms`.
+    public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -30,6 +32,7 @@
     failures_max: int
     stretch: float
     latency_objective_ms: int
+    public: bool = False
 
 
 class PoolSpec(Record, frozen=True, kw_only=True):
@@ -39,17 +42,42 @@
     spare: bool = False
 
 
+class WorkspaceSpec(Record, frozen=True, kw_only=True):
+    """A workspace, whose jobs share its limits and its share of the workers.
+
+    Attributes
+    ----------
+    key_digests : tuple of bytes
+        SHA-256 digests of the keys that its callers present.
+    weight : int
+        Share of the workers while all are in use, relative to the weights of
+        the others; also the number of jobs a second that it may expect to be
+        served.
+    processors_millicores_max, memory_mb_max, accelerators_max : int
+        Limits of all that runs at a time; 0 for no limit.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    weight: int = 1
+    processors_millicores_max: int = 0
+    memory_mb_max: int = 0
+    accelerators_max: int = 0
+
+
 class PublishManifest(Message, frozen=True, kw_only=True):
     """Publish a manifest version; the highest version is active.
 
     `source` holds the bytes that the operator sent, returned by
-    `ReadManifest`.
+    `ReadManifest`. `workspaces` is None if the deployment has none: callers
+    need no keys then. Earlier builds store no `workspaces`.
     """
 
     version: int
     queues: tuple[QueueSpec, ...]
     pools: tuple[PoolSpec, ...]
     source: bytes
+    workspaces: tuple[WorkspaceSpec, ...] | None = None
 
 
 class ReadManifest(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/messages/workflows.py
+++ b/src/sardinespool/messages/workflows.py
@@ -123,11 +123,16 @@
 
 
 class AcceptWorkflow(Message, frozen=True, kw_only=True):
-    """Store a job; `queue` is the name of the queue the leader selected."""
+    """Store a job; `queue` is the name of the queue the leader selected.
+
+    `workspace` is the name of the workspace that submitted it, or "". Earlier
+    builds store no `workspace`.
+    """
 
     job_id: str
     queue: str
     spec: WorkflowSpec
+    workspace: str = ""
 
 
 class EndWorkflow(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -204,6 +204,8 @@
         Expected run time of the critical path.
     occurrences : dict of int to list of StepRecord
         Steps of the opened occurrences.
+    workspace : str
+        Name of the workspace that submitted the job, or "".
     """
 
     __slots__ = (
@@ -217,6 +219,7 @@
         "queue",
         "spec",
         "state",
+        "workspace",
     )
 
     def __init__(
@@ -225,8 +228,10 @@
         queue: QueueSpec,
         spec: WorkflowSpec,
         accepted_unix_ms: int,
+        workspace: str = "",
     ) -> None:
         self.job_id = job_id
+        self.workspace = workspace
         self.queue = queue
         self.spec = spec
         self.accepted_unix_ms = accepted_unix_ms
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -40,6 +40,7 @@
     """Stored form of a job.
 
     `occurrences` holds the tasks of each opened occurrence, grouped by step.
+    Earlier builds store no `workspace`.
     """
 
     job_id: str
@@ -51,6 +52,7 @@
     ended_unix_ms: int
     done_occurrences: int
     occurrences: dict[int, tuple[tuple[TaskSnapshot, ...], ...]]
+    workspace: str = ""
 
 
 class ControlSnapshot(msgspec.Struct, frozen=True):
@@ -109,6 +111,7 @@
             )
             for occurrence, steps in workflow.occurrences.items()
         },
+        workspace=workflow.workspace,
     )
 
 
@@ -119,6 +122,7 @@
         snapshot.queue,
         snapshot.spec,
         snapshot.accepted_unix_ms,
+        snapshot.workspace,
     )
     workflow.state = snapshot.state
     workflow.begun = snapshot.begun
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -56,7 +56,11 @@
         workflow = self.workflows.get(body.job_id)
         if workflow is None:
             workflow = WorkflowRecord(
-                body.job_id, queue, body.spec, now_unix_ms
+                body.job_id,
+                queue,
+                body.spec,
+                now_unix_ms,
+                body.workspace,
             )
             self.workflows[body.job_id] = workflow
             self._update_waiting(workflow)
