Check the keys of workspaces on the leader

Cause: manifests name workspaces with keys, and every request was served whatever key it carried. The command of a job carries the digest and is checked again when it is applied, as the manifest or the job of that id may have changed since. Without workspaces nothing changes.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -45,6 +45,9 @@
 from sardinespool.observability.logs import get_logger
 from sardinespool.replication.identity import member_name
 from sardinespool.replication.status import ReplicaStatus
+from sardinespool.workflows.authorization import check_owner
+from sardinespool.workflows.authorization import find_caller
+from sardinespool.workflows.authorization import workspace_of_job
 from sardinespool.workflows.manifest import check_manifest
 from sardinespool.workflows.records import WorkflowRecord
 from sardinespool.workflows.validation import check_spec
@@ -99,15 +102,15 @@
         match request:
             case SubmitWorkflow():
                 return self._submit(request)
-            case ReadWorkflow(host=host, path=path):
-                return ImmediateReply(status_of(self._workflow(host, path)))
-            case CancelWorkflow(host=host, path=path):
-                workflow = self._workflow(host, path)
+            case ReadWorkflow():
+                return ImmediateReply(status_of(self._workflow(request)))
+            case CancelWorkflow():
+                workflow = self._workflow(request)
                 if workflow.is_final:
                     return ImmediateReply(status_of(workflow))
                 return Proposal(EndWorkflow(job_id=workflow.job_id))
-            case CountWaiting(host=host, path=path):
-                return self._count_waiting(host, path)
+            case CountWaiting():
+                return self._count_waiting(request)
             case PublishManifest():
                 return self._publish(request)
             case ReadManifest():
@@ -188,6 +191,9 @@
                     "job accepted",
                     job=status.job_id,
                     queue=accepted.queue,
+                    workspace=self._machine.table.workflows[
+                        status.job_id
+                    ].workspace,
                     steps=len(accepted.spec.steps),
                     manifest_version=self._machine.manifest.version,
                     term=self._status().term,
@@ -197,27 +203,41 @@
                 _LOG.info("manifest in force", version=version)
 
     def _submit(self, request: SubmitWorkflow) -> ImmediateReply | Proposal:
-        queue, job_id = self._machine.manifest.resolve(
-            request.host, request.path
-        )
+        manifest = self._machine.manifest
+        queue, job_id = manifest.resolve(request.host, request.path)
+        caller = find_caller(manifest, queue, request.key_digest)
         _check_job_id(job_id)
         stored = self._machine.table.workflows.get(job_id)
         if stored is not None:
+            check_owner(manifest, queue, caller, stored)
             return ImmediateReply(status_of(stored))
         check_spec(request.spec)
         return Proposal(
-            AcceptWorkflow(job_id=job_id, queue=queue.name, spec=request.spec)
+            AcceptWorkflow(
+                job_id=job_id,
+                queue=queue.name,
+                spec=request.spec,
+                workspace=workspace_of_job(queue, caller),
+                key_digest=request.key_digest,
+            )
         )
 
-    def _workflow(self, host: str, path: str) -> WorkflowRecord:
-        _, job_id = self._machine.manifest.resolve(host, path)
+    def _workflow(
+        self, request: ReadWorkflow | CancelWorkflow
+    ) -> WorkflowRecord:
+        manifest = self._machine.manifest
+        queue, job_id = manifest.resolve(request.host, request.path)
+        caller = find_caller(manifest, queue, request.key_digest)
         workflow = self._machine.table.workflows.get(job_id)
         if workflow is None:
             raise JobGoneError("No job of this id is stored.", job=job_id)
+        check_owner(manifest, queue, caller, workflow)
         return workflow
 
-    def _count_waiting(self, host: str, path: str) -> ImmediateReply:
-        queue, _ = self._machine.manifest.resolve(host, path)
+    def _count_waiting(self, request: CountWaiting) -> ImmediateReply:
+        manifest = self._machine.manifest
+        queue, _ = manifest.resolve(request.host, request.path)
+        find_caller(manifest, queue, request.key_digest)
         waiting = self._machine.table.waiting.get(queue.name, ())
         return ImmediateReply(WaitingCount(waiting=len(waiting)))
 
--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -55,6 +55,18 @@
     http_status = 404
 
 
+class UnknownWorkspaceKeyError(TaskError):
+    """The request carries no key of a workspace of the active manifest."""
+
+    http_status = 401
+
+
+class OtherWorkspaceError(TaskError):
+    """The job belongs to a workspace other than that of the request's key."""
+
+    http_status = 403
+
+
 class JobGoneError(TaskError):
     """The job that the path names is not stored."""
 
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -1,7 +1,10 @@
 """Replicated state of a control group."""
 
+import msgspec
+
 from sardinespool.errors.configuration import InvalidManifestError
 from sardinespool.errors.tasks import QueueNotFoundError
+from sardinespool.errors.tasks import TaskError
 from sardinespool.errors.transport import InvalidMessageError
 from sardinespool.groups.refusal import refusal_from_error
 from sardinespool.messages import codec
@@ -21,6 +24,7 @@
 from sardinespool.messages.workflows import EndWorkflow
 from sardinespool.messages.workflows import RecordRuns
 from sardinespool.messages.workflows import WorkflowStatus
+from sardinespool.workflows.authorization import workspace_at_commit
 from sardinespool.workflows.manifest import check_manifest
 from sardinespool.workflows.manifest import ManifestState
 from sardinespool.workflows.records import WorkflowRecord
@@ -157,6 +161,10 @@
         self, body: AcceptWorkflow, now_unix_ms: int
     ) -> Reply:
         stored = self.table.workflows.get(body.job_id)
+        try:
+            workspace = workspace_at_commit(self.manifest, body, stored)
+        except TaskError as error:
+            return refusal_from_error(error)
         if stored is not None:
             return WorkflowStatus(job_id=body.job_id, state=stored.state)
         queue = self.manifest.queue_named(body.queue)
@@ -164,6 +172,9 @@
             return refusal_from_error(
                 QueueNotFoundError("The queue was removed.", queue=body.queue)
             )
+        if workspace != body.workspace:
+            # The key was given to another workspace since the check.
+            body = msgspec.structs.replace(body, workspace=workspace)
         workflow = self.table.accept(body, queue, now_unix_ms)
         return WorkflowStatus(job_id=body.job_id, state=workflow.state)
 
--- a/src/sardinespool/messages/workflows.py
+++ b/src/sardinespool/messages/workflows.py
@@ -20,6 +20,10 @@
 """
 
 
+UNREADABLE_KEY = b"?"
+"""Stands for a key that can't be read; never the digest of a key."""
+
+
 class StepSpec(Record, frozen=True, kw_only=True):
     """A step: tasks with equal resources that become ready together.
 
@@ -81,11 +85,19 @@
     """Submit a job to the queue that `host` and `path` select.
 
     The rest of the path is the job id, which makes the request idempotent.
+
+    Attributes
+    ----------
+    key_digest : bytes
+        SHA-256 digest of the key that the request carries, b"" if it carries
+        none, `UNREADABLE_KEY` if it can't be read; so in all requests of
+        callers. Earlier builds send none.
     """
 
     host: str
     path: str
     spec: WorkflowSpec
+    key_digest: bytes = b""
 
 
 class ReadWorkflow(Message, frozen=True, kw_only=True):
@@ -93,6 +105,7 @@
 
     host: str
     path: str
+    key_digest: bytes = b""
 
 
 class CancelWorkflow(Message, frozen=True, kw_only=True):
@@ -100,6 +113,7 @@
 
     host: str
     path: str
+    key_digest: bytes = b""
 
 
 class CountWaiting(Message, frozen=True, kw_only=True):
@@ -107,6 +121,7 @@
 
     host: str
     path: str
+    key_digest: bytes = b""
 
 
 class WorkflowStatus(Message, frozen=True, kw_only=True):
@@ -127,12 +142,19 @@
 
     `workspace` is the name of the workspace that submitted it, or "". Earlier
     builds store no `workspace`.
+
+    Attributes
+    ----------
+    key_digest : bytes or None
+        Key of the request, which is checked again when the command is
+        applied. None in commands of earlier builds, which are not checked.
     """
 
     job_id: str
     queue: str
     spec: WorkflowSpec
     workspace: str = ""
+    key_digest: bytes | None = None
 
 
 class EndWorkflow(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/platform/caller_handler.py
+++ b/src/sardinespool/platform/caller_handler.py
@@ -15,6 +15,7 @@
 from sardinespool.messages.workflows import WorkflowStatus
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
+from sardinespool.platform.caller_key import read_key_digest
 from sardinespool.platform.job_codec import decode_job
 from sardinespool.platform.responses import error_response
 from sardinespool.platform.responses import json_response
@@ -110,16 +111,19 @@
 def _decode_request(request: HttpRequest) -> Request | None:
     host = (request.header("Host") or "").partition(":")[0].lower()
     path = request.target.partition("?")[0]
+    digest = read_key_digest(request)
     match request.method:
         case "POST":
             spec = decode_job(request.body)
-            return SubmitWorkflow(host=host, path=path, spec=spec)
+            return SubmitWorkflow(
+                host=host, path=path, spec=spec, key_digest=digest
+            )
         case "DELETE":
-            return CancelWorkflow(host=host, path=path)
+            return CancelWorkflow(host=host, path=path, key_digest=digest)
         case "GET" if path.endswith("/"):
-            return CountWaiting(host=host, path=path)
+            return CountWaiting(host=host, path=path, key_digest=digest)
         case "GET":
-            return ReadWorkflow(host=host, path=path)
+            return ReadWorkflow(host=host, path=path, key_digest=digest)
         case _:
             return None
 
--- a/src/sardinespool/platform/responses.py
+++ b/src/sardinespool/platform/responses.py
@@ -24,6 +24,8 @@
 
     Status 503 means that nothing was run or stored, and comes with a
     ``Retry-After`` header. Status 504 means that the outcome is unknown.
+    Status 401 and 403 report a key of no workspace, and one of a workspace
+    other than that of the job.
     """
     status = error.http_status
     if isinstance(error, ProposalLostError) or (
@@ -31,6 +33,8 @@
     ):
         status = 504
     headers: Headers = (_JSON_CONTENT_TYPE,)
+    if status == 401:
+        headers += (("WWW-Authenticate", "Bearer"),)
     if status in (429, 503):
         headers += (("Retry-After", str(RETRY_AFTER_S)),)
     body = {"error": error.code, "text": error.text}
--- a/src/sardinespool/workflows/manifest.py
+++ b/src/sardinespool/workflows/manifest.py
@@ -1,9 +1,23 @@
-"""Manifest in force: queues by address, and worker pools."""
+"""Manifest in force: queues by address, pools, and workspaces by key."""
 
 from sardinespool.errors.configuration import InvalidManifestError
 from sardinespool.errors.tasks import QueueNotFoundError
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.manifest import WorkspaceSpec
+
+WORKSPACES_MAX = 5_000
+"""The target is 130 teams. A command and its reply have to fit a frame of
+8 MiB, and a name is encoded with at most 1 KiB."""
+KEYS_MAX = 20_000
+"""A digest is encoded with 34 bytes."""
+NAME_LENGTH_MAX = 256
+"""Number of characters."""
+WEIGHT_MAX = 1_000_000
+LIMIT_MAX = 10**15
+"""A sum of such limits is exact as a float."""
+DIGEST_LENGTH = 32
+"""Length of a SHA-256 digest."""
 
 
 class ManifestState:
@@ -20,6 +34,7 @@
         self._queues: dict[str, QueueSpec] = {}
         self._queues_by_host: dict[str, list[QueueSpec]] = {}
         self.spare_pools: frozenset[str] = frozenset()
+        self._workspaces_by_key: dict[bytes, str] | None = None
 
     @property
     def version(self) -> int:
@@ -40,8 +55,24 @@
         self.spare_pools = frozenset(
             pool.name for pool in manifest.pools if pool.spare
         )
+        self._workspaces_by_key = None
+        if manifest.workspaces is not None:
+            self._workspaces_by_key = {
+                digest: workspace.name
+                for workspace in manifest.workspaces
+                for digest in workspace.key_digests
+            }
         return True
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether keys and limits of workspaces apply."""
+        return self._workspaces_by_key is not None
+
+    def workspace_of(self, key_digest: bytes) -> str | None:
+        """Return the name of the workspace that a key belongs to."""
+        return (self._workspaces_by_key or {}).get(key_digest)
+
     def queue_named(self, name: str) -> QueueSpec | None:
         """Return a queue of the version in force by name."""
         return self._queues.get(name)
@@ -89,3 +120,61 @@
             )
         names.add(queue.name)
         addresses.add(address)
+    if manifest.workspaces is not None:
+        _check_workspaces(manifest.workspaces)
+
+
+def check_size(workspaces: int, keys: int) -> None:
+    """Raise `InvalidManifestError` for too many workspaces or keys."""
+    if workspaces > WORKSPACES_MAX:
+        raise InvalidManifestError(
+            f"A manifest has at most {WORKSPACES_MAX} workspaces.",
+            workspaces=workspaces,
+        )
+    if keys > KEYS_MAX:
+        raise InvalidManifestError(
+            f"A manifest has at most {KEYS_MAX} keys.", keys=keys
+        )
+
+
+def _check_workspaces(workspaces: tuple[WorkspaceSpec, ...]) -> None:
+    check_size(
+        len(workspaces), sum(len(item.key_digests) for item in workspaces)
+    )
+    names: set[str] = set()
+    owners: dict[bytes, str] = {}
+    for workspace in workspaces:
+        name = workspace.name
+        if not name or len(name) > NAME_LENGTH_MAX:
+            raise InvalidManifestError(
+                "The name of a workspace is empty or too long."
+            )
+        if name in names:
+            raise InvalidManifestError(
+                "Two workspaces share a name.", workspace=name
+            )
+        names.add(name)
+        if not 0 <= workspace.weight <= WEIGHT_MAX:
+            raise InvalidManifestError(
+                f"A weight is not between 0 and {WEIGHT_MAX}.", workspace=name
+            )
+        limits = (
+            workspace.processors_millicores_max,
+            workspace.memory_mb_max,
+            workspace.accelerators_max,
+        )
+        if not all(0 <= limit <= LIMIT_MAX for limit in limits):
+            raise InvalidManifestError(
+                f"A limit is not between 0 and {LIMIT_MAX}.", workspace=name
+            )
+        for digest in workspace.key_digests:
+            if len(digest) != DIGEST_LENGTH:
+                raise InvalidManifestError(
+                    "The digest of a key has a wrong length.", workspace=name
+                )
+            # The error names no key, as it reaches the log.
+            if owners.setdefault(digest, name) != name:
+                raise InvalidManifestError(
+                    "Two workspaces share a key.",
+                    workspaces=[owners[digest], name],
+                )
