Learn run times of tasks from the ends of runs

Cause: declared run times are off by e^0.2 to e^0.9, and the order of placement and the planned admission control rest on them. Ruled out: a flag for runs that this leader ordered; runs of an earlier leader count as unanswered already (removing that check fails the test).

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -25,6 +25,7 @@
 from sardinespool.dispatch.run_control import RunControl
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.run_times import RunTimes
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
@@ -51,6 +52,8 @@
         Tracks failing and stalled runs by worker.
     begun_jobs : BegunJobs
         Collects the jobs of begun runs.
+    run_times : RunTimes
+        Learns from the runs that are done.
     control : RunControl
         Records ends of runs and stops runs.
     """
@@ -62,11 +65,13 @@
         pacing: PaceController,
         health: WorkerHealth,
         begun_jobs: BegunJobs,
+        run_times: RunTimes,
         control: RunControl,
     ) -> None:
         self._pace_controller = pacing
         self._health = health
         self._begun_jobs = begun_jobs
+        self._run_times = run_times
         self._fleet = fleet
         self._settings = settings
         self._control = control
@@ -289,7 +294,7 @@
             if ended.number > worker.last_listed_end:
                 worker.last_listed_end = ended.number
                 new_ends = True
-                self._apply_ended_row(worker, ended, now)
+                self._apply_ended_row(worker, ended, answer.clock_ms, now)
         worker.has_unlisted_ends = not answer.is_complete
         if answer.is_complete:
             worker.reconciled = True
@@ -369,7 +374,11 @@
             run.checkpoint = row.checkpoint
 
     def _apply_ended_row(
-        self, worker: WorkerState, row: EndedRun, now: Instant
+        self,
+        worker: WorkerState,
+        row: EndedRun,
+        clock_ms: int,
+        now: Instant,
     ) -> None:
         run = worker.runs.get((row.task, row.run))
         if run is None:
@@ -383,5 +392,6 @@
             worker, run, row.outcome, "reported", listed_number=row.number
         )
         if row.outcome == "done":
+            self._run_times.run_done(run, clock_ms)
             self._control.stop_later_runs(row.task, row.run)
         self._health.run_ended(worker, run, row.outcome, now)
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -83,6 +83,7 @@
             PaceController(model),
             self.health,
             self._begun_jobs,
+            self.estimates.run_times,
             self,
         )
         self._planner = Planner(
--- a/src/sardinespool/dispatch/estimates_schedule.py
+++ b/src/sardinespool/dispatch/estimates_schedule.py
@@ -1,6 +1,9 @@
-"""When the interference estimates of the leader are committed."""
+"""When the estimates of the leader are committed."""
+
+import msgspec
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.run_times import RunTimes
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.estimates import RecordEstimates
@@ -19,16 +22,24 @@
         Replicated state with the estimates of earlier leaders.
     model : TailModel
         Model of this leader.
+
+    Attributes
+    ----------
+    run_times : RunTimes
+        Learned run times.
     """
 
     def __init__(self, machine: ControlMachine, model: TailModel) -> None:
         self._machine = machine
         self._model = model
         self._due_boot_ms = 0
+        self.run_times = RunTimes()
 
     def begin(self, now: Instant) -> None:
         """Take over the committed estimates."""
-        self._model.restore(self._machine.estimates, now.boot_ms)
+        stored = self._machine.estimates
+        self._model.restore(stored, now.boot_ms)
+        self.run_times.restore(() if stored is None else stored.run_times)
         self._due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
 
     def take_due(self, now: Instant) -> RecordEstimates | None:
@@ -36,10 +47,10 @@
         if now.boot_ms < self._due_boot_ms:
             return None
         self._due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
-        estimates = self._model.estimates()
-        if (
-            not estimates.pair_estimates
-            or estimates == self._machine.estimates
-        ):
+        estimates = msgspec.structs.replace(
+            self._model.estimates(), run_times=self.run_times.records()
+        )
+        is_empty = not estimates.pair_estimates and not estimates.run_times
+        if is_empty or estimates == self._machine.estimates:
             return None
         return estimates
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -143,6 +143,26 @@
         declared = self.task.step.spec.processors_millicores
         return declared * self.pace // FULL_PACE
 
+    def measure_ms(self, end_clock_ms: int) -> int | None:
+        """Return how long a whole task took, None if that isn't known.
+
+        Parameters
+        ----------
+        end_clock_ms : int
+            Reading of the worker's clock when it listed the end.
+        """
+        if (
+            self.first_seen_clock_ms is None
+            # An order without an answer, or one of an earlier leader, may
+            # have begun the run long before.
+            or self.unanswered
+            or self.task is None
+            # The run began where an earlier one had ended.
+            or self.task.checkpoint
+        ):
+            return None
+        return max(1, end_clock_ms - self.first_seen_clock_ms)
+
     @property
     def key(self) -> tuple[str, int]:
         """Task name and run number."""
--- a/src/sardinespool/messages/estimates.py
+++ b/src/sardinespool/messages/estimates.py
@@ -1,4 +1,4 @@
-"""Interference estimates that a leader stores for its successor."""
+"""Estimates that a leader stores for its successor."""
 
 import msgspec
 
@@ -28,6 +28,42 @@
     variance: float
 
 
+class RunTimeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Run times of a class of tasks, see `dispatch.run_times`.
+
+    Means and spreads are those of natural logarithms.
+
+    Attributes
+    ----------
+    size : int
+        Half the number of bits of the declared run time; -1 for all tasks of
+        the queue.
+    ratio_weight, ratio_log, ratio_variance : float
+        Number of jobs, decayed, and mean and variance of the ratio of actual
+        to declared run time.
+    run_weight, run_log, run_variance : float
+        The same of the run time in milliseconds.
+    task_spread : float
+        Standard deviation of the run times of tasks of one job.
+    straggler_share, straggler_log : float
+        Share of the tasks that take far longer than others of their job, and
+        the factor.
+    """
+
+    queue: str
+    image: str
+    size: int
+    ratio_weight: float
+    ratio_log: float
+    ratio_variance: float
+    run_weight: float
+    run_log: float
+    run_variance: float
+    task_spread: float
+    straggler_share: float
+    straggler_log: float
+
+
 class RecordEstimates(Message, frozen=True, kw_only=True):
     """Replace the stored estimates.
 
@@ -40,9 +76,12 @@
         Period of the load cycle, None while unknown.
     pair_estimates : tuple of InterferenceEstimateRecord
         One estimate for each pair of images.
+    run_times : tuple of RunTimeRecord
+        One for each class of tasks; earlier builds store none.
     """
 
     period_ms: int | None
     pair_estimates: tuple[InterferenceEstimateRecord, ...] = msgspec.field(
         name="presses"
     )
+    run_times: tuple[RunTimeRecord, ...] = ()
