Show that no output tells a key and that earlier state is read

Cause: the HTTP server quoted a malformed header, key included, in a log line of level info; an unexpected error that quotes a request or a manifest would have brought its keys into the log. Change: these lines are off, and the representation of requests, responses and manifests leaves out headers, bodies and source.

--- a/src/sardinespool/messages/manifest.py
+++ b/src/sardinespool/messages/manifest.py
@@ -79,6 +79,10 @@
     source: bytes
     workspaces: tuple[WorkspaceSpec, ...] | None = None
 
+    def __repr__(self) -> str:
+        """Return a text without `source`, which holds keys."""
+        return f"PublishManifest(version={self.version})"
+
 
 class ReadManifest(Message, frozen=True, kw_only=True):
     """Read the active version; answered by `ManifestCopy`."""
@@ -90,6 +94,10 @@
     version: int
     source: bytes
 
+    def __repr__(self) -> str:
+        """Return a text without `source`, which holds keys."""
+        return f"ManifestCopy(version={self.version})"
+
 
 class ReadOrderTicket(Message, frozen=True, kw_only=True):
     """Request a ticket for an order; answered by `OrderTicket`."""
--- a/src/sardinespool/observability/logs.py
+++ b/src/sardinespool/observability/logs.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import logging as standard_logging
 import re
 import sys
 from typing import Any
@@ -47,6 +48,11 @@
     flags.FLAGS.mark_as_parsed()
     flags.FLAGS.logtostderr = True
     logging.use_absl_handler()
+    # At level info, the HTTP server quotes malformed headers, which may hold
+    # credentials.
+    standard_logging.getLogger("tornado.general").setLevel(
+        standard_logging.WARNING
+    )
     logging.set_verbosity(_LEVELS[level])
 
 
--- a/src/sardinespool/transport/http_messages.py
+++ b/src/sardinespool/transport/http_messages.py
@@ -7,12 +7,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request with its complete body; `target` is path and query."""
+    """A request with its complete body; `target` is path and query.
+
+    Its representation, which an error can bring into the log, leaves out what
+    may hold credentials.
+    """
 
     method: str
     target: str
-    headers: Headers = ()
-    body: bytes = b""
+    headers: Headers = dataclasses.field(default=(), repr=False)
+    body: bytes = dataclasses.field(default=b"", repr=False)
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header; names are case-insensitive."""
@@ -21,11 +25,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A response with its complete body."""
+    """A response with its complete body, which its representation omits."""
 
     status: int
     headers: Headers = ()
-    body: bytes = b""
+    body: bytes = dataclasses.field(default=b"", repr=False)
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header; names are case-insensitive."""
--- a/testing/workflows/test_authorization.py
+++ b/testing/workflows/test_authorization.py
@@ -18,7 +18,7 @@
 from testing.workflows.workspaces import submit
 
 TWO = make_manifest(1, ana="ana1 ana2", luz="luz1")
-WITHOUT = make_manifest(2)
+WITHOUT = msgspec.structs.replace(make_manifest(2), workspaces=None)
 UNKNOWN, OTHER, NO_QUEUE = (
     "unknown-workspace-key",
     "other-workspace",
@@ -140,16 +140,7 @@
         (make_manifest(2, luz="ana1"), "ana1", OTHER),
         (make_manifest(2, queues="open", ana="ana1"), "ana1", NO_QUEUE),
         # A version without workspaces opens all.
-        (
-            PublishManifest(
-                version=2,
-                queues=TWO.queues,
-                pools=TWO.pools,
-                source=b"{}",
-            ),
-            "wrong",
-            "ok",
-        ),
+        (WITHOUT, "wrong", "ok"),
     ],
 )
 def test_next_version_applies_to_stored_jobs(
@@ -173,6 +164,8 @@
         ("closed", "ana1", make_manifest(2, luz="ana1"), "ok", "luz"),
         ("closed", "ana1", make_manifest(2, "closed", ana="ana1"), "ok", ""),
         ("open", "", make_manifest(2, "", ana="ana1"), UNKNOWN, None),
+        ("closed", "ana1", WITHOUT, "ok", "ana"),
+        ("open", "ana1", WITHOUT, "ok", ""),
         ("open", "ana1", make_manifest(2, "", ana="ana1"), "ok", "ana"),
         (
             "closed",
@@ -201,6 +194,15 @@
     assert control.workspace("job") == workspace
 
 
+def test_version_without_workspaces_opens_all() -> None:
+    """Guards against a rest of the checks where keys do not exist."""
+    control = Control(TWO)
+    control.call(submit("/closed/job", "ana1"))
+    control.call(WITHOUT)
+    for request in requests("/open/job", UNREADABLE_KEY).values():
+        assert code_of(functools.partial(control.call, request)) == "ok"
+
+
 def test_second_of_two_submissions_in_flight_is_refused() -> None:
     """Guards against the state of a job that another workspace submitted.
 
--- a/testing/workflows/test_manifest.py
+++ b/testing/workflows/test_manifest.py
@@ -1,6 +1,7 @@
 """Manifest versions and queue resolution."""
 
 import dataclasses
+from typing import Any
 
 import msgspec
 import pytest
@@ -10,7 +11,10 @@
 from sardinespool.messages.manifest import PoolSpec
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.manifest import WorkspaceSpec
+from sardinespool.messages.workflows import UNREADABLE_KEY
 from sardinespool.workflows.manifest import check_manifest
+from sardinespool.workflows.manifest import LIMIT_MAX
 from sardinespool.workflows.manifest import ManifestState
 
 
@@ -58,6 +62,31 @@
         check_manifest(manifest(1, *case.queues))
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"weight": -1},
+        {"processors_millicores_max": -1},
+        {"memory_mb_max": -1},
+        {"accelerators_max": LIMIT_MAX + 1},
+        {"key_digests": (b"k",)},
+        {"key_digests": (UNREADABLE_KEY,)},
+        {"key_digests": (b"",)},
+    ],
+    ids=str,
+)
+def test_workspace_out_of_range_is_rejected(field: dict[str, Any]) -> None:
+    """Guards against values that another member sends, unlike an operator.
+
+    A digest of another length could equal the mark of an unreadable key.
+    """
+    workspaces = (WorkspaceSpec(name="w", **field),)
+    with pytest.raises(InvalidManifestError):
+        check_manifest(
+            msgspec.structs.replace(manifest(1), workspaces=workspaces)
+        )
+
+
 @pytest.mark.parametrize("order", [(3, 7, 5), (7, 3, 5), (5, 3, 7), (7, 7, 3)])
 def test_highest_version_is_in_force_in_any_order(
     order: tuple[int, ...],
