Limit what a workspace may have running

No code applied the limits of the manifest's workspaces. The leader's reservations hold what may still run, but the log forgot runs of tasks that are done: a later run, or the other members of a gang.

workspaces/limits.py decides on a start; the planner applies it to the reservations, WorkflowTable to the log, so that a plan that a lowered limit overtook is refused. Sums by workspace are kept with each reservation. The log keeps the worker of a run that outlives its task (no new field), and a new leader stops it. When a limit falls, planned starts that don't fit are given up as on a worker that shrank. planner.py is split: placement_order.py holds the order, recorded_runs.py what a new leader loads.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -310,7 +310,7 @@
         now: Instant,
     ) -> None:
         """End or stop the runs that a complete list does not contain."""
-        obstacle = self._fleet.start_obstacle(worker, now)
+        worker_obstacle = self._fleet.start_obstacle(worker, now)
         for run in list(worker.runs.values()):
             if (
                 run.key not in present
@@ -323,11 +323,14 @@
                     worker, run, "lost", run.stop_reason or "not on the worker"
                 )
             elif (
-                obstacle
-                and run.phase is RunPhase.ORDERED
+                run.phase is RunPhase.ORDERED
                 and run.sent
                 and not run.in_flight
                 and run.key not in present
+                and (
+                    obstacle := worker_obstacle
+                    or self._fleet.limits.obstacle(run)
+                )
             ):
                 # Its start may still arrive, and can't be sent again.
                 self._control.stop_run(worker, run, obstacle)
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -338,7 +338,7 @@
         self._planner.request_pass()
         self._metrics.ready_steps.set(len(self._machine.table.ready))
         self._metrics.congested_queues.set(
-            len(self._planner.congestion.queues)
+            len(self._planner.order.congestion.queues)
         )
         self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -4,11 +4,10 @@
 from sardinespool.dispatch import worker_restart
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
-from sardinespool.dispatch.run_state import RunPhase
-from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.recorded_runs import load_runs
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.dispatch.start_limits import StartLimits
 from sardinespool.dispatch.worker_restart import EndRun
-from sardinespool.dispatch.worker_state import departed_worker
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.worker_reports import keep_draining
@@ -45,6 +44,11 @@
         Called for each run that ends with its worker or incarnation.
     crashes : CrashRecorder
         Collects the evidence of crashes of workers.
+
+    Attributes
+    ----------
+    limits : StartLimits
+        Limits of the workspaces, applied to the runs of all workers.
     """
 
     def __init__(
@@ -59,12 +63,14 @@
         self._end_run = end_run
         self.crashes = crashes
         self.workers: dict[str, WorkerState] = {}
+        self.limits = StartLimits(machine, self.workers)
         self.heartbeat_boot_ms: dict[str, int] = {}
         self._report_clock_ms: dict[str, tuple[int, int]] = {}
 
     def begin(self, now: Instant) -> None:
         """Load workers and assigned runs from the replicated state."""
         self.workers.clear()
+        self.limits.reset()
         self.heartbeat_boot_ms.clear()
         self.crashes.reset()
         self._report_clock_ms.clear()
@@ -75,47 +81,21 @@
         )
         for description in self._machine.workers.values():
             self.workers[description.worker_id] = WorkerState(
-                description, self._settings, unknown_lease_end_boot_ms
+                description,
+                self._settings,
+                unknown_lease_end_boot_ms,
+                self.limits.usage,
             )
             self.heartbeat_boot_ms[description.worker_id] = now.boot_ms
-        for worker_id, tasks in self._machine.table.assigned.items():
-            worker = self.workers.get(worker_id)
-            runs = [
-                RunState(
-                    task.key, task.run, task, RunPhase.ORDERED, now.boot_ms
-                )
-                for task in tasks.values()
-            ]
-            if worker is None:
-                self._end_runs_of_departed_worker(worker_id, runs)
-                continue
-            if any(
-                task.incarnation != incarnation_of(worker)
-                for task in tasks.values()
-            ):
-                worker.unknown_lease_end_boot_ms = (
-                    worker_restart.late_lease_end_boot_ms(self._settings, now)
-                )
-            for run in runs:
-                run.sent = True
-                run.unanswered = 1
-                run.trial = run.task is not None and (
-                    run.run == run.task.trial_run
-                )
-                worker.add_run(run)
+        load_runs(
+            self._machine.table.runs,
+            self.workers,
+            self._settings,
+            self._end_run,
+            now,
+        )
         self._note_superseded_workers(now)
 
-    def _end_runs_of_departed_worker(
-        self, worker_id: str, runs: list[RunState]
-    ) -> None:
-        """End the runs of a worker whose leave an earlier leader committed.
-
-        That leader was lost before it committed their ends.
-        """
-        departed = departed_worker(worker_id, self._settings)
-        for run in runs:
-            self._end_run(departed, run, "lost", Loss.LEFT.value)
-
     def _note_superseded_workers(self, now: Instant) -> None:
         """Note as silent the workers whose host has a later worker by now.
 
@@ -222,7 +202,7 @@
         worker = self.workers.get(description.worker_id)
         if worker is None:
             self.workers[description.worker_id] = WorkerState(
-                description, self._settings, now.boot_ms
+                description, self._settings, now.boot_ms, self.limits.usage
             )
             _LOG.info(
                 "worker known",
@@ -256,7 +236,10 @@
             # No start was sent since the restart before.
             late_lease_end_boot_ms = worker.unknown_lease_end_boot_ms
         successor = WorkerState(
-            description, self._settings, late_lease_end_boot_ms
+            description,
+            self._settings,
+            late_lease_end_boot_ms,
+            self.limits.usage,
         )
         successor.restarted = True
         self.workers[worker.worker_id] = successor
--- a/src/sardinespool/dispatch/order_queue.py
+++ b/src/sardinespool/dispatch/order_queue.py
@@ -168,7 +168,9 @@
             return PaceRun(
                 run.task_key, run.run, run.target_pace, self.fencing_token
             )
-        if not self._fleet.may_send_start(worker, now):
+        if not self._fleet.may_send_start(
+            worker, now
+        ) or self._fleet.limits.is_excess(run):
             # The worker may not have received an earlier order of the run.
             run.retry_boot_ms = now.boot_ms + self._settings.retry_ms
             return None
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -1,25 +1,18 @@
 """Selection and placement of the ready tasks that start now."""
 
-from collections.abc import Collection
-from collections.abc import Iterator
-
 from sardinespool.clock import Instant
 from sardinespool.dispatch.best_effort import best_effort_demand
 from sardinespool.dispatch.best_effort import BestEffortScorer
 from sardinespool.dispatch.best_effort import STARVED_PACE
-from sardinespool.dispatch.congestion_log import CongestionLog
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import RunStopper
 from sardinespool.dispatch.health import WorkerHealth
+from sardinespool.dispatch.placement_order import PlacementOrder
 from sardinespool.dispatch.placer import Placer
 from sardinespool.dispatch.rebalancer import Rebalancer
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
-from sardinespool.dispatch.step_priority import congested_queues
-from sardinespool.dispatch.step_priority import first_round_size
-from sardinespool.dispatch.step_priority import step_priority
-from sardinespool.dispatch.step_priority import StepPriority
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.trial_planner import TrialPlanner
 from sardinespool.dispatch.worker_state import WorkerState
@@ -31,18 +24,6 @@
 STARTS_PER_PASS_MAX = 400
 """Bounds the time of a pass; the next pass places the remaining tasks."""
 
-SERVING_BATCH_WINDOW_MS = 300
-"""Delay of a new serving step, so that steps submitted together are placed
-together; serving tasks run for a minute or longer."""
-STARVED_WAIT_MS = 1_500
-"""Wait after which a step without any run may start on any worker."""
-STARVED_RESERVED_MAX = 0.6
-"""Reserved share of all processors below which a starved step may start where
-it interferes; from this share on, it keeps waiting for a suitable worker."""
-OVERDUE_WAIT_MS = 2_000
-"""Wait after which a long-running step is overdue: it precedes short tasks,
-may take the last free slot, and may start on a worker that was set aside. Its
-callers count it as missing after 6 s."""
 IDLE_PASS_INTERVAL_MS = 100
 """Delay after a pass that placed nothing, unless resources become free; tail
 latencies and paces change within half a second."""
@@ -74,8 +55,8 @@
     ----------
     rebalancer : Rebalancer
         Moves throttled best-effort tasks.
-    congestion : CongestionLog
-        Congested queues.
+    order : PlacementOrder
+        Order of the ready steps.
     """
 
     def __init__(
@@ -97,17 +78,15 @@
         self._cleanup_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
-        self._waiting_since: dict[tuple[str, int, int], int] = {}
-        self.congestion = CongestionLog()
+        self.order = PlacementOrder(machine, fleet)
 
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._cleanup_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
-        self._waiting_since.clear()
         self._trials.reset()
-        self.congestion = CongestionLog()
+        self.order.reset()
 
     def request_pass(self) -> None:
         """Plan in the next pass, as resources or a step became available."""
@@ -127,7 +106,7 @@
         """
         ready = self._machine.table.ready
         if not ready:
-            self.congestion.update(
+            self.order.congestion.update(
                 (), self._machine.table.waiting_counts(), now
             )
         if not ready or now.boot_ms < self._pass_due_boot_ms:
@@ -140,11 +119,7 @@
                 candidates.setdefault(pool, []).append(worker)
             elif self._fleet.accepts_starts_as_last_resort(worker, now):
                 set_aside.setdefault(pool, []).append(worker)
-        self._waiting_since = {
-            key: since
-            for key, since in self._waiting_since.items()
-            if key in ready
-        }
+        self.order.retain(ready)
         self._best_effort.begin_pass(
             best_effort_demand(ready.values()), now.boot_ms
         )
@@ -169,12 +144,12 @@
         has_unplaced = False
         unplaced_millicores: dict[str, int] = {}
         placed = set(self._trials.suspects)
-        for step, tasks_max in self._placement_order(ready.values(), now):
+        for step, tasks_max in self.order.steps(ready.values(), now):
             if len(planned) >= STARTS_PER_PASS_MAX:
                 break
             queue = self._machine.current_queue(step.workflow)
             placer = placers.get(queue.pool)
-            if self._awaits_batch(step, now):
+            if self.order.awaits_batch(step, now):
                 has_unplaced = True
                 continue
             if placer is not None and (
@@ -265,18 +240,6 @@
                 ):
                     control.stop_run(worker, run, "worker drains")
 
-    def _awaits_batch(self, step: StepRecord, now: Instant) -> bool:
-        """Return whether a new serving step waits for others of its image.
-
-        Jobs that are submitted together are placed image by image.
-        """
-        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
-        return (
-            bool(step.spec.tail_latency_target_ms)
-            and now.boot_ms - since_boot_ms < SERVING_BATCH_WINDOW_MS
-            and not any(task.run for task in step.tasks)
-        )
-
     def _cannot_fit(
         self,
         step: StepRecord,
@@ -288,68 +251,9 @@
         return (
             unplaced_size is not None
             and step.spec.processors_millicores >= unplaced_size
-            and not self._is_starved(step, now)
-        )
-
-    def _is_overdue(self, step: StepRecord, now: Instant) -> bool:
-        """Return whether a long-running step has waited too long.
-
-        While short tasks keep a fleet full, they take all room that becomes
-        free, and a long-running task behind them would never start.
-        """
-        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
-        return (
-            step.spec.long_running
-            and now.boot_ms - since_boot_ms > OVERDUE_WAIT_MS
+            and not self.order.is_starved(step, now)
         )
 
-    def _is_starved(self, step: StepRecord, now: Instant) -> bool:
-        """Return whether a step without any run has waited too long."""
-        since_boot_ms = self._waiting_since.setdefault(step.key, now.boot_ms)
-        return (
-            len(step.waiting) == step.remaining
-            and now.boot_ms - since_boot_ms > STARVED_WAIT_MS
-            and self._fleet.reserved_share() < STARVED_RESERVED_MAX
-        )
-
-    def _placement_order(
-        self, steps: Collection[StepRecord], now: Instant
-    ) -> Iterator[tuple[StepRecord, int]]:
-        """Yield steps in placement order, each with a limit of placed tasks.
-
-        Long-running steps appear twice: each gets half of its tasks before
-        any gets the rest, as partial service is better than none.
-        """
-        queues = [
-            (step, self._machine.current_queue(step.workflow))
-            for step in steps
-        ]
-        congested = congested_queues(queues, now.unix_ms)
-        self.congestion.update(
-            congested, self._machine.table.waiting_counts(), now
-        )
-        entries: list[tuple[StepPriority, StepRecord, int]] = []
-        for step, queue in queues:
-            first_size = first_round_size(step)
-            rounds = (
-                (first_size,)
-                if first_size == step.spec.count
-                else (first_size, step.spec.count)
-            )
-            for round_, tasks_max in enumerate(rounds):
-                priority = step_priority(
-                    step,
-                    queue,
-                    now.unix_ms,
-                    round_,
-                    self._is_overdue(step, now),
-                    queue.name in congested,
-                )
-                entries.append((priority, step, tasks_max))
-        entries.sort(key=lambda entry: entry[0])
-        for _, step, tasks_max in entries:
-            yield step, tasks_max
-
     def _place_step(
         self,
         step: StepRecord,
@@ -369,14 +273,18 @@
         if tasks_left <= 0:
             return []
         gang_run = max((task.run for task in step.tasks), default=0) + 1
-        starved = self._is_starved(step, now)
+        starved = self.order.is_starved(step, now)
         workers = placer.workers_for(
             step,
             starved,
             self._health.failed_workers(step.key),
-            overdue=self._is_overdue(step, now),
+            overdue=self.order.is_overdue(step, now),
         )
+        limits = self._fleet.limits
         for index in waiting[:tasks_left]:
+            # A gang is checked whole, before its first member.
+            if not (planned and step.spec.gang) and not limits.may_start(step):
+                break
             worker = next(workers, None)
             if worker is None:
                 break
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -154,6 +154,8 @@
         """Place a suspect, or all members of a suspected gang or none."""
         number = max(task.run for task in tasks) + 1
         planned: list[tuple[WorkerState, RunState]] = []
+        if not self._fleet.limits.may_start(tasks[0].step):
+            return []
         for task in tasks:
             worker = self._choose_worker(task, workers, is_overdue)
             if worker is None:
--- a/src/sardinespool/dispatch/worker_restart.py
+++ b/src/sardinespool/dispatch/worker_restart.py
@@ -67,6 +67,7 @@
             run.stop_reason = "never listed by an earlier incarnation"
             run.in_flight = False
             run.first_seen_clock_ms = None
+            worker.remove_run(run)
             successor.add_run(run)
         else:
             end_run(worker, run, "lost", Loss.RESTARTED.value)
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -8,6 +8,7 @@
 from sardinespool.messages.worker_reports import WorkerDescription
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.observability.logs import get_logger
+from sardinespool.workspaces.usage import WorkspaceUsage
 
 RunKey = tuple[str, int]
 SERVING_LOAD_RATIO = 0.5
@@ -22,6 +23,11 @@
 class WorkerState:
     """Resources, runs, lease and condition of one worker incarnation.
 
+    Parameters
+    ----------
+    usage : WorkspaceUsage or None
+        Counts the runs of all workers; None for a worker without others.
+
     Attributes
     ----------
     description : WorkerDescription
@@ -85,8 +91,10 @@
         description: WorkerDescription,
         settings: DispatchSettings,
         unknown_lease_end_boot_ms: int,
+        usage: WorkspaceUsage | None = None,
     ) -> None:
         self.description = description
+        self._usage = WorkspaceUsage() if usage is None else usage
         self._processors_max_millicores = description.processors_millicores
         self._recorded = description
         self._reported: WorkerDescription | None = None
@@ -179,6 +187,7 @@
             self.trials[run.key] = run
         if run.step is not None:
             self._adjust_reservation(run.step.spec, -1)
+            self._usage.add(run.step.workflow.workspace, run.step.spec)
 
     def remove_run(self, run: RunState) -> None:
         """Remove an ended run and free its resources."""
@@ -189,6 +198,7 @@
         self.trials.pop(run.key, None)
         if run.step is not None:
             self._adjust_reservation(run.step.spec, 1)
+            self._usage.remove(run.step.workflow.workspace, run.step.spec)
 
     def measure_best_effort_use(self) -> None:
         """Recompute the best-effort use from the last list."""
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -82,7 +82,10 @@
         match command.body:
             case RecordRuns() as body:
                 return self.table.record_runs(
-                    body, now_unix_ms, self.failures_max
+                    body,
+                    now_unix_ms,
+                    self.failures_max,
+                    self.manifest.workspaces_by_name,
                 )
             case AcceptWorkflow() as body:
                 return self._accept_workflow(body, now_unix_ms)
--- a/src/sardinespool/workflows/manifest.py
+++ b/src/sardinespool/workflows/manifest.py
@@ -4,6 +4,7 @@
 from sardinespool.errors.tasks import QueueNotFoundError
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.manifest import WorkspaceSpec
 
 
 class ManifestState:
@@ -13,6 +14,8 @@
     ----------
     current : PublishManifest or None
         None before the first version.
+    workspaces_by_name : dict of str to WorkspaceSpec
+        Workspaces of the version in force.
     """
 
     def __init__(self) -> None:
@@ -20,6 +23,7 @@
         self._queues: dict[str, QueueSpec] = {}
         self._queues_by_host: dict[str, list[QueueSpec]] = {}
         self.spare_pools: frozenset[str] = frozenset()
+        self.workspaces_by_name: dict[str, WorkspaceSpec] = {}
 
     @property
     def version(self) -> int:
@@ -40,6 +44,10 @@
         self.spare_pools = frozenset(
             pool.name for pool in manifest.pools if pool.spare
         )
+        self.workspaces_by_name = {
+            workspace.name: workspace
+            for workspace in manifest.workspaces or ()
+        }
         return True
 
     def queue_named(self, name: str) -> QueueSpec | None:
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -2,8 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from types import MappingProxyType
 
 from sardinespool.messages.manifest import QueueSpec
+from sardinespool.messages.manifest import WorkspaceSpec
 from sardinespool.messages.workflows import AcceptWorkflow
 from sardinespool.messages.workflows import Assignment
 from sardinespool.messages.workflows import RecordRuns
@@ -11,15 +15,21 @@
 from sardinespool.messages.workflows import RunsRecorded
 from sardinespool.messages.workflows import WorkflowState
 from sardinespool.workflows import crash_evidence
+from sardinespool.workflows.assignment_units import has_room
+from sardinespool.workflows.assignment_units import is_whole
+from sardinespool.workflows.assignment_units import units_of
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.records import TaskRecord
 from sardinespool.workflows.records import TaskState
 from sardinespool.workflows.records import WorkflowRecord
+from sardinespool.workflows.run_index import RunIndex
 from sardinespool.workflows.task_key import split_task_key
+from sardinespool.workspaces.usage import WorkspaceUsage
 
 StepKey = tuple[str, int, int]
 FailureLimit = Callable[[WorkflowRecord], int]
 """Returns the number of failed runs of a task at which its job fails."""
+NO_WORKSPACES: Mapping[str, WorkspaceSpec] = MappingProxyType({})
 
 
 class WorkflowTable:
@@ -33,8 +43,8 @@
         Steps with tasks that may be assigned now.
     unopened : dict of str to WorkflowRecord
         Jobs with occurrences that are not opened yet, by id.
-    assigned : dict of str to dict
-        Assigned tasks by worker id and task name.
+    runs : RunIndex
+        Runs whose end is not recorded.
     waiting : dict of str to set of str
         Ids of the jobs that wait for the begin of their first task, by queue.
     suspects : dict of str to TaskRecord
@@ -45,10 +55,20 @@
         self.workflows: dict[str, WorkflowRecord] = {}
         self.ready: dict[StepKey, StepRecord] = {}
         self.unopened: dict[str, WorkflowRecord] = {}
-        self.assigned: dict[str, dict[str, TaskRecord]] = {}
+        self.runs = RunIndex()
         self.waiting: dict[str, set[str]] = {}
         self.suspects: dict[str, TaskRecord] = {}
 
+    @property
+    def assigned(self) -> dict[str, dict[str, TaskRecord]]:
+        """Assigned tasks by worker id and task name."""
+        return self.runs.assigned
+
+    @property
+    def usage(self) -> WorkspaceUsage:
+        """What may run by workspace."""
+        return self.runs.usage
+
     def accept(
         self, body: AcceptWorkflow, queue: QueueSpec, now_unix_ms: int
     ) -> WorkflowRecord:
@@ -78,12 +98,18 @@
         return workflow
 
     def record_runs(
-        self, body: RecordRuns, now_unix_ms: int, failures_max: FailureLimit
+        self,
+        body: RecordRuns,
+        now_unix_ms: int,
+        failures_max: FailureLimit,
+        workspaces: Mapping[str, WorkspaceSpec] = NO_WORKSPACES,
     ) -> RunsRecorded:
         """Apply begins, ends, opened occurrences, assignments and removals.
 
         An assignment is refused unless its task is waiting in a runnable step
-        and its run number is new, so that outdated plans have no effect.
+        and its run number is new, so that outdated plans have no effect. It
+        is also refused if its workspace would exceed its limit, as may happen
+        when the limit fell after the plan.
         """
         for job_id in body.begun:
             workflow = self.workflows.get(job_id)
@@ -98,11 +124,7 @@
             workflow = self.workflows.get(job_id)
             if workflow is not None and not workflow.is_final:
                 self.open_occurrence(workflow, occurrence)
-        refused = tuple(
-            position
-            for position, assignment in enumerate(body.assignments)
-            if not self._assign(assignment)
-        )
+        refused = self._assign(body.assignments, workspaces)
         for job_id in body.forgotten_jobs:
             self._delete(job_id)
         return RunsRecorded(refused=refused, ended_jobs=tuple(ended_jobs))
@@ -139,7 +161,7 @@
         """Rebuild all indexes from the jobs."""
         self.ready.clear()
         self.unopened.clear()
-        self.assigned.clear()
+        self.runs.clear()
         self.waiting.clear()
         self.suspects.clear()
         for workflow in self.workflows.values():
@@ -150,12 +172,40 @@
                 for step in steps:
                     self._update_ready(step)
                     for task in step.tasks:
-                        if task.state is TaskState.ASSIGNED:
-                            self._index_assigned(task)
+                        if task.worker_id:
+                            self.runs.add(task)
                         if crash_evidence.needs_trial(task):
                             self.suspects[task.key] = task
 
-    def _assign(self, assignment: Assignment) -> bool:
+    def _assign(
+        self,
+        assignments: Sequence[Assignment],
+        workspaces: Mapping[str, WorkspaceSpec],
+    ) -> tuple[int, ...]:
+        """Apply assignments; return the positions of the refused ones."""
+        refused: list[int] = []
+        for positions in units_of(assignments, self.task, workspaces):
+            tasks = [
+                task
+                for position in positions
+                if (task := self._assignable(assignments[position]))
+            ]
+            if (
+                not tasks
+                or not has_room(tasks[0].step, self.usage, workspaces)
+                or (
+                    tasks[0].step.workflow.workspace in workspaces
+                    and not is_whole(tasks)
+                )
+            ):
+                refused += positions
+                continue
+            for task, position in zip(tasks, positions, strict=True):
+                self._apply_assignment(task, assignments[position])
+        return tuple(sorted(refused))
+
+    def _assignable(self, assignment: Assignment) -> TaskRecord | None:
+        """Return the task of an assignment if it waits for this run."""
         task = self.task(assignment.task)
         if (
             task is None
@@ -163,7 +213,12 @@
             or assignment.run <= task.run
             or not task.step.is_runnable
         ):
-            return False
+            return None
+        return task
+
+    def _apply_assignment(
+        self, task: TaskRecord, assignment: Assignment
+    ) -> None:
         task.state = TaskState.ASSIGNED
         task.run = assignment.run
         task.worker_id = assignment.worker_id
@@ -171,9 +226,8 @@
         if assignment.trial:
             task.trial_run = assignment.run
         task.step.waiting.discard(task.index)
-        self._index_assigned(task)
+        self.runs.add(task)
         self._update_ready(task.step)
-        return True
 
     def _record_end(
         self, end: RunEnd, now_unix_ms: int, failures_max: FailureLimit
@@ -185,7 +239,11 @@
         know which ends are recorded.
         """
         task = self.task(end.task)
-        if task is None or task.state is TaskState.DONE or end.run > task.run:
+        if task is None or end.run > task.run:
+            return ""
+        if task.state is TaskState.DONE:
+            if end.run == task.run:
+                self.runs.remove(task)
             return ""
         is_current = task.state is TaskState.ASSIGNED and end.run == task.run
         task.record_checkpoint(end.run, end.checkpoint)
@@ -243,13 +301,8 @@
                 self.suspects.pop(task.key, None)
 
     def _unassign(self, task: TaskRecord) -> None:
-        assigned_tasks = self.assigned.get(task.worker_id)
-        if assigned_tasks is not None:
-            assigned_tasks.pop(task.key, None)
-            if not assigned_tasks:
-                del self.assigned[task.worker_id]
+        self.runs.remove(task)
         task.state = TaskState.WAITING
-        task.worker_id = ""
         task.step.waiting.add(task.index)
 
     def _mark_done(self, task: TaskRecord) -> None:
@@ -258,9 +311,14 @@
         for member in task.members:
             if member.state is TaskState.DONE:
                 continue
+            worker_id = member.worker_id
             if member.state is TaskState.ASSIGNED:
                 self._unassign(member)
             member.state = TaskState.DONE
+            if worker_id:
+                # This run goes on until its own end is recorded.
+                member.worker_id = worker_id
+                self.runs.add(member)
             self.suspects.pop(member.key, None)
             step.waiting.discard(member.index)
             step.remaining -= 1
@@ -299,8 +357,13 @@
 
     def _delete(self, job_id: str) -> None:
         workflow = self.workflows.get(job_id)
-        if workflow is not None and workflow.is_final:
-            del self.workflows[job_id]
+        if workflow is None or not workflow.is_final:
+            return
+        del self.workflows[job_id]
+        for steps in workflow.occurrences.values():
+            for step in steps:
+                for task in step.tasks:
+                    self.runs.remove(task)
 
     def _update_ready(self, step: StepRecord) -> None:
         if step.is_ready:
@@ -308,9 +371,6 @@
         else:
             self.ready.pop(step.key, None)
 
-    def _index_assigned(self, task: TaskRecord) -> None:
-        self.assigned.setdefault(task.worker_id, {})[task.key] = task
-
     def _mark_begun(self, workflow: WorkflowRecord) -> None:
         workflow.begun = True
         if workflow.state == "queued":
--- /dev/null
+++ b/src/sardinespool/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Limits and shares of the workspaces of a deployment."""
--- a/testing/dispatch/test_overload.py
+++ b/testing/dispatch/test_overload.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sardinespool.dispatch import planner
+from sardinespool.dispatch import placement_order
 from sardinespool.dispatch import step_priority as policy
 from sardinespool.dispatch.step_priority import step_priority
 from sardinespool.dispatch.step_priority import StepPriority
@@ -80,7 +80,7 @@
 ) -> None:
     """Guards against an order in which most jobs end late under overload."""
     chosen = replay_chosen_order(pattern)
-    monkeypatch.setattr(planner, "step_priority", other)
+    monkeypatch.setattr(placement_order, "step_priority", other)
     compared = [replay(pattern, seed) for seed in SEEDS]
     gain = statistics.mean(item.in_objective for item in chosen)
     gain -= statistics.mean(item.in_objective for item in compared)
