--- a/src/sardinespool/workflows/manifest.py
+++ b/src/sardinespool/workflows/manifest.py
@@ -27,6 +27,8 @@
     ----------
     current : PublishManifest or None
         None before the first version.
+    workspaces_by_name : dict of str to WorkspaceSpec
+        Workspaces of the version in force.
     """
 
     def __init__(self) -> None:
@@ -35,6 +37,7 @@
         self._queues_by_host: dict[str, list[QueueSpec]] = {}
         self.spare_pools: frozenset[str] = frozenset()
         self._workspaces_by_key: dict[bytes, str] | None = None
+        self.workspaces_by_name: dict[str, WorkspaceSpec] = {}
 
     @property
     def version(self) -> int:
@@ -62,6 +65,10 @@
                 for workspace in manifest.workspaces
                 for digest in workspace.key_digests
             }
+        self.workspaces_by_name = {
+            workspace.name: workspace
+            for workspace in manifest.workspaces or ()
+        }
         return True
 
     @property
