--- a/testing/dispatch/workspace_simulation.py
+++ b/testing/dispatch/workspace_simulation.py
@@ -94,7 +94,10 @@
         self.workers_check_incarnation = True
 
     def publish(self, *workspaces: WorkspaceSpec) -> None:
-        """Put a manifest with these workspaces in force."""
+        """Put a manifest with these workspaces in force.
+
+        The queue is public, as the requests of the simulation carry no key.
+        """
         current = self.machine.manifest.current
         assert current is not None
         self.oracle.limits_changed(
@@ -109,7 +112,13 @@
         )
         self.request_applied(
             msgspec.structs.replace(
-                current, version=current.version + 1, workspaces=workspaces
+                current,
+                version=current.version + 1,
+                queues=tuple(
+                    msgspec.structs.replace(queue, public=True)
+                    for queue in current.queues
+                ),
+                workspaces=workspaces,
             )
         )
 
