--- a/src/sardinespool/workflows/manifest.py
+++ b/src/sardinespool/workflows/manifest.py
@@ -6,9 +6,9 @@
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.messages.manifest import WorkspaceSpec
 
-WORKSPACES_MAX = 5_000
-"""The target is 130 teams. A command and its reply have to fit a frame of
-8 MiB, and a name is encoded with at most 1 KiB."""
+WORKSPACES_MAX = 1_000
+"""The target is 130 teams. A command has to fit a frame of 8 MiB beside up to
+4 MiB of `source`, and a name is encoded with at most 1 KiB."""
 KEYS_MAX = 20_000
 """A digest is encoded with 34 bytes."""
 NAME_LENGTH_MAX = 256
