Test the limits of workspaces with mutations

The planner and the table back each other up, so a fault in what one of them counts shows in no schedule.

Each counted case (ordered, stopped, silent, found by a new leader, outliving its task, lowered limit, whole gangs) is dropped with the other check off.

--- a/testing/dispatch/test_workspace_limits.py
+++ b/testing/dispatch/test_workspace_limits.py
@@ -1,11 +1,28 @@
 """Limits of workspaces on what the workers run, with faults."""
 
 import random
+from collections.abc import Callable
+from typing import Any
 
 import hypothesis
+import pytest
 from hypothesis import strategies as st
 
+from sardinespool.dispatch import fleet
+from sardinespool.dispatch import start_limits
+from sardinespool.dispatch.answer_handler import AnswerHandler
+from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.start_limits import StartLimits
+from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
+from sardinespool.workflows import assignment_units
+from sardinespool.workflows import table
+from sardinespool.workflows.records import TaskRecord
+from sardinespool.workflows.records import TaskState
+from sardinespool.workflows.run_index import RunIndex
+from sardinespool.workspaces.limits import may_start
+from sardinespool.workspaces.usage import Resources
 from testing.dispatch.workspace_simulation import workspace
 from testing.dispatch.workspace_simulation import WorkspaceSimulation
 
@@ -116,3 +133,173 @@
             for task in worker.running
         )
         assert usage.tasks_of(name) >= running
+
+
+def play_random(seed: int) -> list[str]:
+    """Play a schedule drawn from a seed; return the starts above limits."""
+    draw = random.Random(seed)
+    script = [
+        (draw.choice(EVENTS), draw.randrange(2**16))
+        for _ in range(draw.randint(10, 30))
+    ]
+    simulation = WorkspaceSimulation(seed)
+    simulation.faults.unanswered = draw.choice([0.0, 0.1, 0.3])
+    simulation.faults.late = draw.choice([0.0, 0.1, 0.3])
+    simulation.restores_snapshots = bool(seed % 2)
+    simulation.publish(workspace("a", 3_000), workspace("b", 2_000))
+    play(simulation, script)
+    return simulation.oracle.excesses
+
+
+def uncount(patch: pytest.MonkeyPatch, owner: type, name: str) -> None:
+    """Stop counting the runs that a method handles, as a mutation."""
+    original = getattr(owner, name)
+    remove_run = WorkerState.remove_run
+    uncounted: dict[int, RunState] = {}
+
+    def count(worker: WorkerState, run: RunState, change: str) -> None:
+        if run.step is not None:
+            change_use = getattr(worker._usage, change)
+            change_use(run.step.workflow.workspace, run.step.spec)
+
+    def handle(handler: Any, worker: WorkerState, *arguments: Any) -> None:
+        original(handler, worker, *arguments)
+        for run in list(worker.runs.values()):
+            # Without a run among the arguments, all of the worker are meant.
+            if id(run) not in uncounted and (
+                run in arguments or isinstance(arguments[0], str)
+            ):
+                uncounted[id(run)] = run
+                count(worker, run, "remove")
+
+    def remove(worker: WorkerState, run: RunState) -> None:
+        if worker.runs.get(run.key) is run and uncounted.pop(id(run), None):
+            count(worker, run, "add")
+        remove_run(worker, run)
+
+    patch.setattr(owner, name, handle)
+    patch.setattr(WorkerState, "remove_run", remove)
+
+
+def uncount_loaded(patch: pytest.MonkeyPatch) -> None:
+    def load(recorded: object, workers: Any, *arguments: Any) -> None:
+        load_runs(recorded, workers, *arguments)
+        for worker in workers.values():
+            for run in worker.runs.values():
+                if run.step is not None:
+                    worker._usage.remove(
+                        run.step.workflow.workspace, run.step.spec
+                    )
+
+    load_runs: Any = fleet.load_runs
+    patch.setattr(fleet, "load_runs", load)
+
+
+def uncount_leftover(patch: pytest.MonkeyPatch) -> None:
+    def add(index: RunIndex, task: TaskRecord) -> None:
+        if task.state is TaskState.DONE:
+            task.worker_id = ""
+        else:
+            original(index, task)
+
+    original = RunIndex.add
+    patch.setattr(RunIndex, "add", add)
+
+
+def decide_singly(
+    in_use: Resources, need: Resources, limit: Resources, gang_size: int
+) -> bool:
+    return may_start(in_use, need, limit)
+
+
+def decide_by_use(
+    in_use: Resources, need: Resources, limit: Resources, gang_size: int
+) -> bool:
+    return all(
+        not most or used < most
+        for used, most in zip(in_use, limit, strict=True)
+    )
+
+
+def decide_with(decision: object) -> Callable[[pytest.MonkeyPatch], None]:
+    def mutate(patch: pytest.MonkeyPatch) -> None:
+        patch.setattr(start_limits, "may_start", decision)
+        patch.setattr(assignment_units, "may_start", decision)
+
+    return mutate
+
+
+MUTATIONS: dict[str, tuple[bool, int, Callable[..., None]]] = {
+    "stopped": (True, 9, lambda p: uncount(p, Dispatcher, "stop_run")),
+    "ordered": (
+        True,
+        1,
+        lambda p: uncount(p, AnswerHandler, "handle_order_result"),
+    ),
+    "silent": (
+        True,
+        0,
+        lambda p: uncount(p, AnswerHandler, "_mark_unresponsive"),
+    ),
+    "new leader": (True, 4, uncount_loaded),
+    "leftover": (False, 9, uncount_leftover),
+    "lowered": (
+        True,
+        10,
+        lambda p: p.setattr(StartLimits, "is_excess", lambda *_: False),
+    ),
+    "gang": (True, 3, decide_with(decide_singly)),
+    "use alone": (True, 0, decide_with(decide_by_use)),
+    "neither": (
+        True,
+        0,
+        lambda p: p.setattr(StartLimits, "may_start", lambda *_: True),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_each_counted_case_is_needed(
+    monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    """Guards against a schedule that no longer needs what is counted.
+
+    The planner and the table back each other up, so that a mutation of one
+    shows only without the other.
+    """
+    of_planner, seed, mutate = MUTATIONS[name]
+    if of_planner:
+        monkeypatch.setattr(table, "has_room", lambda *_: True)
+    else:
+        monkeypatch.setattr(StartLimits, "may_start", lambda *_: True)
+    assert play_random(seed) == []
+    mutate(monkeypatch)
+    assert play_random(seed) != []
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_starts_above_a_lowered_limit_are_given_up(answered: bool) -> None:
+    """Guards against planned starts that are sent after the limit fell."""
+    simulation = WorkspaceSimulation(1, workers=2)
+    simulation.publish(workspace("a", 4_000))
+    simulation.run(1_500)
+    for worker in simulation.workers.values():
+        worker.run_time_ms = lambda task: 30_000
+        worker.failure_ratio = 0.0
+    spec = StepSpec(count=4, processors_millicores=1_000, memory_mb=1)
+    simulation.submit_to("a", "job", spec)
+    simulation.faults.unanswered = 0.0 if answered else 1.0
+    simulation.run(100)
+    assert simulation.machine.table.usage.tasks_of("a") == 4
+    simulation.publish(workspace("a", 2_000))
+    simulation.run(600)
+    simulation.faults.unanswered = 0.0
+    simulation.run(4_000)
+    started = sum(len(item.running) for item in simulation.workers.values())
+    assert started == (4 if answered else 2)
+    assert simulation.machine.table.usage.tasks_of("a") == started
+    simulation.publish(workspace("a", 4_000))
+    simulation.run(4_000)
+    started = sum(len(item.running) for item in simulation.workers.values())
+    assert started == 4
+    assert simulation.oracle.excesses == []
--- /dev/null
+++ b/testing/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits and shares of workspaces."""
