--- /dev/null
+++ b/testing/hostile_clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of processes under clients that nobody controls."""
