--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -40,6 +40,7 @@
 from sardinespool.transport.frame_server import FrameServer
 from sardinespool.transport.group_client import ATTEMPT_REFUSALS
 from sardinespool.transport.group_client import GroupClient
+from sardinespool.transport.listener_guard import ListenerGuard
 
 SENDER_CLEANUP_INTERVAL_MS = 1_000
 TRANSFER_TIMEOUT_MS = 1_000
@@ -63,6 +64,8 @@
         Client that sends lease renewals and orders to workers.
     metrics : Metrics
         Metrics of the process.
+    guard : ListenerGuard or None
+        Guard of the process; None for one with the default limits.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         settings: ControlGroupMemberSettings,
         caller: WorkerCaller,
         metrics: Metrics,
+        guard: ListenerGuard | None = None,
     ) -> None:
         self._settings = settings
         self._caller = caller
@@ -86,6 +90,7 @@
             settings.cluster_token,
             GroupEndpoint(self._runners, self._store_metrics, self._stopping),
             None,
+            guard,
         )
         self._client = GroupClient(
             CONTROL_GROUP,
