--- a/testing/platform/test_fault_barrier.py
+++ b/testing/platform/test_fault_barrier.py
@@ -89,7 +89,9 @@
 
 def make_core(group: FakeGroup) -> Any:
     return ControlHandler(
-        group.call, TimelyOrders(group.call, system_clock.now).send, lambda: ""
+        group.call,
+        TimelyOrders(group.call, system_clock.now).send,
+        lambda _: "",
     )
 
 
