--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -16,7 +16,7 @@
 from sardinespool.platform.fault_barrier import FaultBarrier
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.settings import PlatformSettings
-from sardinespool.programs.controller.control_member import (
+from sardinespool.programs.controller.settings import (
     cluster_settings_from_token,
 )
 from sardinespool.programs.controller.settings import CONTROL_GROUP
--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -19,6 +19,9 @@
 from sardinespool.messages.codec import Request
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
+from sardinespool.programs.controller.settings import (
+    cluster_settings_from_token,
+)
 from sardinespool.programs.controller.settings import CONTROL_GROUP
 from sardinespool.programs.controller.settings import (
     ControlGroupMemberSettings,
@@ -35,7 +38,6 @@
 from sardinespool.replication.messages import PeerMessage
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.settings import ReplicaSettings
-from sardinespool.settings.model import ClusterSettings
 from sardinespool.storage.group_store import GroupStore
 from sardinespool.transport import system_clock
 from sardinespool.transport.connector import Connector
@@ -290,17 +292,3 @@
         group=CONTROL_GROUP,
         sent=sent,
     )
-
-
-def cluster_settings_from_token(token: str) -> ClusterSettings:
-    """Return cluster settings that contain only a token.
-
-    Members of a control group discover each other, so none are listed.
-    """
-    return ClusterSettings(
-        failure_domains=(),
-        stores=(),
-        entries=(),
-        cluster_token=token,
-        credentials=(),
-    )
--- a/src/sardinespool/programs/controller/settings.py
+++ b/src/sardinespool/programs/controller/settings.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.settings.model import ClusterSettings
 from sardinespool.settings.model import ReplicationSettings
 
 CONTROL_GROUP = "control"
@@ -38,3 +39,17 @@
     cluster_token: str
     dispatch: DispatchSettings = DispatchSettings()
     replication: ReplicationSettings = ReplicationSettings()
+
+
+def cluster_settings_from_token(token: str) -> ClusterSettings:
+    """Return cluster settings that contain only a token.
+
+    Members of a control group discover each other, so none are listed.
+    """
+    return ClusterSettings(
+        failure_domains=(),
+        stores=(),
+        entries=(),
+        cluster_token=token,
+        credentials=(),
+    )
--- a/src/sardinespool/transport/waiting_server.py
+++ b/src/sardinespool/transport/waiting_server.py
@@ -14,10 +14,12 @@
 
 from sardinespool.transport.listener_guard import GuardedStream
 
-CHUNK_BYTES = 16_384
+READ_BYTES = 16_384
 """Bytes of one read, which each connection may hold unasked."""
+CHUNK_BYTES = 65_536
+"""Largest part of a body that is passed on at once."""
 READ_BUFFER_BYTES_MAX = 131_072
-"""Fits the largest head and two reads; bodies are taken out in parts."""
+"""Fits the largest head or part, and a read."""
 OVERLOAD_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -38,6 +40,7 @@
         kwargs["chunk_size"] = CHUNK_BYTES
         kwargs["max_buffer_size"] = READ_BUFFER_BYTES_MAX
         super().initialize(*args, **kwargs)
+        self.read_chunk_size = READ_BYTES
         # The guard closes what takes too long, without a timer a request.
         self.conn_params.header_timeout = None
         self._connection_closed = asyncio.Event()
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -95,3 +95,63 @@
     path.write_text(content)
     with pytest.raises(SettingsError):
         load_platform_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("limits", "budget_mb", "connections"),
+    [
+        pytest.param("{}", 1_024, None, id="no limits"),
+        pytest.param(
+            "{memory_mb: 200, file_descriptors: 4096, link_mbps: 2}",
+            50,
+            1_706,
+            id="front",
+        ),
+        pytest.param(
+            "{memory_mb: 424, file_descriptors: 4100}", 106, 3_618, id="core"
+        ),
+        pytest.param("{memory_mb: 48}", 20, 409, id="least budget"),
+        pytest.param("{file_descriptors: 210}", 1_024, 64, id="descriptors"),
+        pytest.param(
+            "{memory_mb: 200, receive_budget_mb: 30, connections: 100}",
+            30,
+            100,
+            id="own limits",
+        ),
+    ],
+)
+def test_limits(
+    tmp_path: pathlib.Path,
+    limits: str,
+    budget_mb: int,
+    connections: int | None,
+) -> None:
+    """Guards against limits that the process reads differently."""
+    path = tmp_path / "local.yaml"
+    path.write_text(
+        SETTINGS_YAML.replace("limits:\n  memory_mb: 296", f"limits: {limits}")
+    )
+    guard = load_platform_settings(path).limits.guard
+    assert guard.receive_budget_bytes == budget_mb * 1_048_576
+    assert guard.connections_max == connections
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [
+        "memory_mb: 0",
+        "file_descriptors: many",
+        "receive_budget_mb: 19",
+        "connections: 15",
+        "request_timeout_ms: 19999",
+        "minimum_bytes_per_s: 501",
+        "rate_grace_ms: 2999",
+        "drain_timeout_ms: 30001",
+    ],
+)
+def test_invalid_limits(tmp_path: pathlib.Path, limits: str) -> None:
+    """Guards against limits that ordinary clients would meet."""
+    path = tmp_path / "local.yaml"
+    path.write_text(SETTINGS_YAML.replace("memory_mb: 296", limits))
+    with pytest.raises(SettingsError):
+        load_platform_settings(path)
