Order workspaces by weighted dominant share when they compete

One workspace that floods took the room of all others: the order of the ready steps knew no workspaces. Long-running tasks of a workspace at its limit could wait forever behind its own short ones.

Where the ready steps of several workspaces don't all find room, begun jobs come first, then the workspace with the least weighted dominant share, then jobs above weight jobs a second. The quotas are part of the replicated state. A queue counts as congested for each of these groups by itself: a flood turned the jobs of the others to newest first. An overdue long-running task at its limit reserves what its workspace frees.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -277,6 +277,7 @@
             "jobs": len(table.workflows),
             "ready_steps": len(table.ready),
             "waiting_jobs": table.waiting_counts(),
+            "workspaces": self._dispatcher.describe_workspaces(),
             "workers": {
                 worker.worker_id: {
                     "answered": worker.answered,
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -95,6 +95,10 @@
         self._begun_token = 0
         self._run_checks = RunChecks(metrics)
 
+    def describe_workspaces(self) -> dict[str, object]:
+        """Return use, limit, share and waiting steps by workspace."""
+        return self._planner.workspace_log.describe()
+
     @property
     def has_work(self) -> bool:
         """Whether a planning pass may have something to record."""
@@ -336,10 +340,7 @@
             return
         self._proposed = None
         self._planner.request_pass()
-        self._metrics.ready_steps.set(len(self._machine.table.ready))
-        self._metrics.congested_queues.set(
-            len(self._planner.order.congestion.queues)
-        )
+        self._planner.write_metrics(self._metrics, now)
         self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
         for position, (worker, run) in enumerate(self._planned_runs):
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -42,6 +42,14 @@
         self.congested_queues = metrics.gauge(
             "congested_queues", "Queues whose jobs start newest first."
         )
+        self.workspace_holds = metrics.counter(
+            "workspace_holds_total",
+            "Times a workspace began to be held back, by reason.",
+        )
+        self.workspace_millicores = metrics.gauge(
+            "workspace_millicores",
+            "Processors of all that a workspace may have running.",
+        )
         self.silent_runs = metrics.gauge(
             "silent_runs", "Runs on workers that do not answer."
         )
--- a/src/sardinespool/dispatch/placement_order.py
+++ b/src/sardinespool/dispatch/placement_order.py
@@ -7,13 +7,17 @@
 from sardinespool.clock import Instant
 from sardinespool.dispatch.congestion_log import CongestionLog
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.share_order import ShareOrder
 from sardinespool.dispatch.step_priority import congested_queues
 from sardinespool.dispatch.step_priority import first_round_size
 from sardinespool.dispatch.step_priority import step_priority
 from sardinespool.dispatch.step_priority import StepPriority
 from sardinespool.groups.control_machine import ControlMachine
+from sardinespool.messages.manifest import QueueSpec
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.table import StepKey
+from sardinespool.workspaces.shares import fair_order
+from sardinespool.workspaces.shares import Group
 
 SERVING_BATCH_WINDOW_MS = 300
 """Delay of a new serving step, so that steps submitted together are placed
@@ -43,6 +47,8 @@
     ----------
     congestion : CongestionLog
         Congested queues.
+    shares : ShareOrder
+        Shares of the workspaces.
     """
 
     def __init__(self, machine: ControlMachine, fleet: Fleet) -> None:
@@ -50,11 +56,13 @@
         self._fleet = fleet
         self._waiting_since: dict[StepKey, int] = {}
         self.congestion = CongestionLog()
+        self.shares = ShareOrder(machine, fleet.limits)
 
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._waiting_since.clear()
         self.congestion = CongestionLog()
+        self.shares.lacked_room = False
 
     def retain(self, ready: Container[StepKey]) -> None:
         """Forget since when the steps that are not ready have waited."""
@@ -100,16 +108,20 @@
         """Yield steps in placement order, each with a limit of placed tasks.
 
         Long-running steps appear twice: each gets half of its tasks before
-        any gets the rest, as partial service is better than none.
+        any gets the rest, as partial service is better than none. Steps that
+        are not overdue are in the order of the shares of their workspaces, if
+        these share the workers.
         """
         queues = [
             (step, self._machine.current_queue(step.workflow))
             for step in steps
         ]
-        congested = congested_queues(queues, now.unix_ms)
         self.congestion.update(
-            congested, self._machine.table.waiting_counts(), now
+            congested_queues(queues, now.unix_ms),
+            self._machine.table.waiting_counts(),
+            now,
         )
+        congested = self._congested_groups(queues, now)
         entries: list[tuple[StepPriority, StepRecord, int]] = []
         for step, queue in queues:
             first_size = first_round_size(step)
@@ -125,12 +137,36 @@
                     now.unix_ms,
                     round_,
                     self.is_overdue(step, now),
-                    queue.name in congested,
+                    (self.shares.group_of(step), queue.name) in congested,
                 )
                 entries.append((priority, step, tasks_max))
         entries.sort(key=lambda entry: entry[0])
-        for _, step, tasks_max in entries:
-            yield step, tasks_max
+        groups: dict[Group, list[tuple[StepRecord, int]]] = {}
+        for priority, step, tasks_max in entries:
+            if self.shares.applies and priority.awaits:
+                group = self.shares.group_of(step)
+                groups.setdefault(group, []).append((step, tasks_max))
+            else:
+                yield step, tasks_max
+        yield from fair_order(groups, self.shares.share_of)
+
+    def _congested_groups(
+        self, queues: Collection[tuple[StepRecord, QueueSpec]], now: Instant
+    ) -> set[tuple[Group, str]]:
+        """Return the congested queues of each group of steps.
+
+        A workspace that floods a queue must not reverse the order of the
+        jobs that others sent to it.
+        """
+        groups: dict[Group, list[tuple[StepRecord, QueueSpec]]] = {}
+        for step, queue in queues:
+            group = self.shares.group_of(step)
+            groups.setdefault(group, []).append((step, queue))
+        return {
+            (group, name)
+            for group, members in groups.items()
+            for name in congested_queues(members, now.unix_ms)
+        }
 
     def _waited_ms(self, step: StepRecord, now: Instant) -> int:
         return now.boot_ms - self._waiting_since.setdefault(
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -1,5 +1,7 @@
 """Selection and placement of the ready tasks that start now."""
 
+import itertools
+
 from sardinespool.clock import Instant
 from sardinespool.dispatch.best_effort import best_effort_demand
 from sardinespool.dispatch.best_effort import BestEffortScorer
@@ -7,6 +9,7 @@
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import RunStopper
 from sardinespool.dispatch.health import WorkerHealth
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.placement_order import PlacementOrder
 from sardinespool.dispatch.placer import Placer
 from sardinespool.dispatch.rebalancer import Rebalancer
@@ -16,6 +19,8 @@
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.dispatch.trial_planner import TrialPlanner
 from sardinespool.dispatch.worker_state import WorkerState
+from sardinespool.dispatch.workspace_holds import WorkspaceHolds
+from sardinespool.dispatch.workspace_log import WorkspaceLog
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import Assignment
 from sardinespool.workflows.records import StepRecord
@@ -57,6 +62,8 @@
         Moves throttled best-effort tasks.
     order : PlacementOrder
         Order of the ready steps.
+    workspace_log : WorkspaceLog
+        Workspaces that are held back.
     """
 
     def __init__(
@@ -79,6 +86,9 @@
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self.order = PlacementOrder(machine, fleet)
+        self.workspace_log = WorkspaceLog(
+            machine, fleet.limits, self.order.shares
+        )
 
     def reset(self) -> None:
         """Clear the state of earlier passes."""
@@ -87,6 +97,7 @@
         self._best_effort_due_boot_ms = 0
         self._trials.reset()
         self.order.reset()
+        self.workspace_log.reset()
 
     def request_pass(self) -> None:
         """Plan in the next pass, as resources or a step became available."""
@@ -109,6 +120,7 @@
             self.order.congestion.update(
                 (), self._machine.table.waiting_counts(), now
             )
+            self.workspace_log.update(None, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
@@ -120,6 +132,10 @@
             elif self._fleet.accepts_starts_as_last_resort(worker, now):
                 set_aside.setdefault(pool, []).append(worker)
         self.order.retain(ready)
+        self.order.shares.begin_pass(
+            ready.values(),
+            itertools.chain.from_iterable(candidates.values()),
+        )
         self._best_effort.begin_pass(
             best_effort_demand(ready.values()), now.boot_ms
         )
@@ -144,6 +160,7 @@
         has_unplaced = False
         unplaced_millicores: dict[str, int] = {}
         placed = set(self._trials.suspects)
+        holds = WorkspaceHolds(self._fleet.limits, self.order.shares)
         for step, tasks_max in self.order.steps(ready.values(), now):
             if len(planned) >= STARTS_PER_PASS_MAX:
                 break
@@ -152,12 +169,15 @@
             if self.order.awaits_batch(step, now):
                 has_unplaced = True
                 continue
-            if placer is not None and (
-                not step.spec.uses_leftover_processors
-                or (
-                    place_best_effort
-                    and not self._cannot_fit(step, unplaced_millicores, now)
-                )
+            if holds.holds_back(step, self.order.is_overdue(step, now)):
+                has_unplaced = True
+                continue
+            if step.spec.uses_leftover_processors and not place_best_effort:
+                has_unplaced = True
+                continue
+            if placer is not None and not (
+                step.spec.uses_leftover_processors
+                and self._cannot_fit(step, unplaced_millicores, now)
             ):
                 placed_runs = self._place_step(
                     step, placer, tasks_max, placed, now
@@ -167,11 +187,15 @@
                 if (
                     step.spec.uses_leftover_processors
                     and self._trials.has_other_waiting(step)
+                    and self._fleet.limits.may_start(step)
                 ):
                     unplaced_millicores[step.spec.image] = (
                         step.spec.processors_millicores
                     )
             has_unplaced = has_unplaced or bool(step.waiting)
+            if self._machine.manifest.workspaces_by_name:
+                holds.note_unplaced(step, tasks_max, placed)
+        self.workspace_log.update(holds, now)
         if has_unplaced and not planned:
             self._pass_due_boot_ms = now.boot_ms + (
                 IDLE_PASS_INTERVAL_MS
@@ -190,6 +214,12 @@
         )
         return assignments, planned
 
+    def write_metrics(self, metrics: DispatchMetrics, now: Instant) -> None:
+        """Update the metrics of what waits."""
+        metrics.ready_steps.set(len(self._machine.table.ready))
+        metrics.congested_queues.set(len(self.order.congestion.queues))
+        self.workspace_log.write_metrics(metrics, now)
+
     def due_occurrences(self, now: Instant) -> tuple[tuple[str, int], ...]:
         """Return the occurrences that are due."""
         due = []
--- a/src/sardinespool/groups/control_machine.py
+++ b/src/sardinespool/groups/control_machine.py
@@ -133,6 +133,7 @@
                 workers=tuple(self.workers.values()),
                 estimates=self.estimates,
                 departed=self.departed,
+                quotas_full_unix_us=self.table.quotas.full_unix_us,
                 workflows=tuple(
                     snapshot_of(item) for item in self.table.workflows.values()
                 ),
@@ -151,6 +152,7 @@
         self.departed = dict(snapshot.departed)
         self.workers = {item.worker_id: item for item in snapshot.workers}
         self.table = WorkflowTable()
+        self.table.quotas.full_unix_us = dict(snapshot.quotas_full_unix_us)
         self.table.workflows = {
             item.job_id: restore_workflow(item) for item in snapshot.workflows
         }
@@ -167,7 +169,9 @@
             return refusal_from_error(
                 QueueNotFoundError("The queue was removed.", queue=body.queue)
             )
-        workflow = self.table.accept(body, queue, now_unix_ms)
+        workflow = self.table.accept(
+            body, queue, now_unix_ms, self.manifest.workspaces_by_name
+        )
         return WorkflowStatus(job_id=body.job_id, state=workflow.state)
 
     def _publish_manifest(self, body: PublishManifest) -> Reply:
@@ -175,7 +179,8 @@
             check_manifest(body)
         except InvalidManifestError as error:
             return refusal_from_error(error)
-        self.manifest.put(body)
+        if self.manifest.put(body):
+            self.table.quotas.retain(self.manifest.workspaces_by_name)
         return Accepted()
 
     def has_departed(self, description: WorkerDescription) -> bool:
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -206,6 +206,8 @@
         Steps of the opened occurrences.
     workspace : str
         Name of the workspace that submitted the job, or "".
+    in_excess : bool
+        Whether the job was above the quota of its workspace.
     """
 
     __slots__ = (
@@ -214,6 +216,7 @@
         "critical_path_ms",
         "done_occurrences",
         "ended_unix_ms",
+        "in_excess",
         "job_id",
         "occurrences",
         "queue",
@@ -232,6 +235,7 @@
     ) -> None:
         self.job_id = job_id
         self.workspace = workspace
+        self.in_excess = False
         self.queue = queue
         self.spec = spec
         self.accepted_unix_ms = accepted_unix_ms
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -40,7 +40,7 @@
     """Stored form of a job.
 
     `occurrences` holds the tasks of each opened occurrence, grouped by step.
-    Earlier builds store no `workspace`.
+    Earlier builds store no `workspace` and no `in_excess`.
     """
 
     job_id: str
@@ -53,12 +53,14 @@
     done_occurrences: int
     occurrences: dict[int, tuple[tuple[TaskSnapshot, ...], ...]]
     workspace: str = ""
+    in_excess: bool = False
 
 
 class ControlSnapshot(msgspec.Struct, frozen=True):
     """Complete stored state of a control group.
 
-    Earlier builds store no `departed`.
+    Earlier builds store no `departed` and no `quotas_full_unix_us`, the state
+    of `JobQuotas`.
     """
 
     group_incarnation: str
@@ -68,6 +70,7 @@
     workflows: tuple[WorkflowSnapshot, ...]
     estimates: RecordEstimates | None = None
     departed: dict[str, int] = {}
+    quotas_full_unix_us: dict[str, int] = {}
 
 
 _DECODER = msgspec.msgpack.Decoder(ControlSnapshot)
@@ -112,6 +115,7 @@
             for occurrence, steps in workflow.occurrences.items()
         },
         workspace=workflow.workspace,
+        in_excess=workflow.in_excess,
     )
 
 
@@ -124,6 +128,7 @@
         snapshot.accepted_unix_ms,
         snapshot.workspace,
     )
+    workflow.in_excess = snapshot.in_excess
     workflow.state = snapshot.state
     workflow.begun = snapshot.begun
     workflow.ended_unix_ms = snapshot.ended_unix_ms
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -24,6 +24,7 @@
 from sardinespool.workflows.records import WorkflowRecord
 from sardinespool.workflows.run_index import RunIndex
 from sardinespool.workflows.task_key import split_task_key
+from sardinespool.workspaces.shares import JobQuotas
 from sardinespool.workspaces.usage import WorkspaceUsage
 
 StepKey = tuple[str, int, int]
@@ -49,6 +50,8 @@
         Ids of the jobs that wait for the begin of their first task, by queue.
     suspects : dict of str to TaskRecord
         Tasks whose next run must be a trial, by name.
+    quotas : JobQuotas
+        Quotas of the workspaces.
     """
 
     def __init__(self) -> None:
@@ -58,6 +61,7 @@
         self.runs = RunIndex()
         self.waiting: dict[str, set[str]] = {}
         self.suspects: dict[str, TaskRecord] = {}
+        self.quotas = JobQuotas()
 
     @property
     def assigned(self) -> dict[str, dict[str, TaskRecord]]:
@@ -70,7 +74,11 @@
         return self.runs.usage
 
     def accept(
-        self, body: AcceptWorkflow, queue: QueueSpec, now_unix_ms: int
+        self,
+        body: AcceptWorkflow,
+        queue: QueueSpec,
+        now_unix_ms: int,
+        workspaces: Mapping[str, WorkspaceSpec] = NO_WORKSPACES,
     ) -> WorkflowRecord:
         """Store a job; idempotent, returns the stored job for a known id."""
         workflow = self.workflows.get(body.job_id)
@@ -82,6 +90,11 @@
                 now_unix_ms,
                 body.workspace,
             )
+            workspace = workspaces.get(body.workspace)
+            if workspace is not None:
+                workflow.in_excess = self.quotas.exceeds(
+                    workspace.name, workspace.weight, now_unix_ms
+                )
             self.workflows[body.job_id] = workflow
             self._update_waiting(workflow)
             if body.spec.repetitions:
--- a/src/sardinespool/workspaces/usage.py
+++ b/src/sardinespool/workspaces/usage.py
@@ -38,7 +38,7 @@
     """Sums of the tasks that may run, by workspace.
 
     Each added task is removed once, so that no decision sums over workers.
-    Tasks without a workspace are not counted, as no limit applies to them.
+    Tasks without a workspace count under the name "".
     """
 
     def __init__(self) -> None:
@@ -55,19 +55,16 @@
 
     def names(self) -> list[str]:
         """Return the workspaces that may have a task running."""
-        return list(self._tasks)
+        return [name for name in self._tasks if name]
 
     def add(self, workspace: str, step: StepSpec) -> None:
         """Count a task."""
-        if workspace:
-            need = task_need(step)
-            self._in_use[workspace] = self.of(workspace).plus(need)
-            self._tasks[workspace] = self.tasks_of(workspace) + 1
+        need = task_need(step)
+        self._in_use[workspace] = self.of(workspace).plus(need)
+        self._tasks[workspace] = self.tasks_of(workspace) + 1
 
     def remove(self, workspace: str, step: StepSpec) -> None:
         """Stop counting a task that was added."""
-        if not workspace:
-            return
         count = self.tasks_of(workspace) - 1
         if count > 0:
             need = task_need(step)
--- a/testing/dispatch/workspace_simulation.py
+++ b/testing/dispatch/workspace_simulation.py
@@ -66,7 +66,7 @@
             or self._limits[position + 1][0] >= since_ms
         ]
         for column in range(3):
-            if any(limit[column] == 0 for limit in in_force):
+            if not in_force or any(limit[column] == 0 for limit in in_force):
                 continue
             limit = max(limit[column] for limit in in_force)
             used = sum(need[column] for need in needs)
