Order waiting steps by learned run times

Cause: the order of placement rests on declared run times, which are off by a factor of e^0.9, so that jobs count as late or in time by chance. Change: the leader sets the predicted times of each job at its acceptance, at a takeover and at each end of its tasks (dispatch/job_paths.py); step_priority.py uses them in lateness, share of work left and congestion. planner.py is unchanged.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -5,6 +5,7 @@
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
+from sardinespool.dispatch.job_paths import learn_from_run
 from sardinespool.dispatch.orders import EndedRun
 from sardinespool.dispatch.orders import LeaseRenewed
 from sardinespool.dispatch.orders import NoAnswer
@@ -392,6 +393,6 @@
             worker, run, row.outcome, "reported", listed_number=row.number
         )
         if row.outcome == "done":
-            self._run_times.run_done(run, clock_ms)
+            learn_from_run(self._run_times, run, clock_ms)
             self._control.stop_later_runs(row.task, row.run)
         self._health.run_ended(worker, run, row.outcome, now)
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -192,6 +192,7 @@
                     manifest_version=self._machine.manifest.version,
                     term=self._status().term,
                 )
+                self._dispatcher.estimates.predict(status.job_id)
                 self._dispatcher.job_accepted()
             case PublishManifest(version=version), Accepted():
                 _LOG.info("manifest in force", version=version)
--- a/src/sardinespool/dispatch/estimates_schedule.py
+++ b/src/sardinespool/dispatch/estimates_schedule.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.job_paths import predict_paths
 from sardinespool.dispatch.run_times import RunTimes
 from sardinespool.dispatch.tail_model import TailModel
 from sardinespool.groups.control_machine import ControlMachine
@@ -41,6 +42,14 @@
         self._model.restore(stored, now.boot_ms)
         self.run_times.restore(() if stored is None else stored.run_times)
         self._due_boot_ms = now.boot_ms + ESTIMATES_INTERVAL_MS
+        for job_id in self._machine.table.workflows:
+            self.predict(job_id)
+
+    def predict(self, job_id: str) -> None:
+        """Set the predicted times of a job from the learned run times."""
+        workflow = self._machine.table.workflows.get(job_id)
+        if workflow is not None:
+            predict_paths(self.run_times, workflow)
 
     def take_due(self, now: Instant) -> RecordEstimates | None:
         """Return the estimates to commit, or None if none are due."""
--- /dev/null
+++ b/src/sardinespool/dispatch/job_paths.py
@@ -0,0 +1,75 @@
+"""Predicted times of the paths of a job, from learned run times."""
+
+from sardinespool.dispatch.run_state import RunState
+from sardinespool.dispatch.run_times import RunTimes
+from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.workflows.critical_path import path_times
+from sardinespool.workflows.critical_path import PathTimes
+from sardinespool.workflows.records import WorkflowRecord
+
+
+def learn_from_run(
+    run_times: RunTimes, run: RunState, end_clock_ms: int
+) -> None:
+    """Learn from a run that is done, if its duration is known.
+
+    Parameters
+    ----------
+    run_times : RunTimes
+        Learned run times.
+    run : RunState
+        The run.
+    end_clock_ms : int
+        Reading of the worker's clock when it listed the end.
+    """
+    run_ms = run.measure_ms(end_clock_ms)
+    if run_ms is None or run.step is None:
+        return
+    workflow = run.step.workflow
+    run_times.observe(
+        workflow.job_id, workflow.queue.name, run.step.spec, run_ms
+    )
+    predict_paths(run_times, workflow)
+
+
+def predict_paths(run_times: RunTimes, workflow: WorkflowRecord) -> None:
+    """Set the predicted times of a job that has not ended."""
+    if not workflow.is_final:
+        workflow.predicted = paths_of(
+            run_times, workflow.job_id, workflow.queue.name, workflow.spec
+        )
+
+
+def paths_of(
+    run_times: RunTimes,
+    job_id: str,
+    queue: str,
+    spec: WorkflowSpec,
+    spreads: float = 0.0,
+) -> PathTimes:
+    """Return the predicted times of a job that may not be stored yet.
+
+    Parameters
+    ----------
+    run_times : RunTimes
+        Learned run times.
+    job_id : str
+        Id of the job.
+    queue : str
+        Name of its queue.
+    spec : WorkflowSpec
+        The job.
+    spreads : float
+        See `RunTimeForecast.last_of_ms`.
+    """
+    forecasts = [
+        run_times.forecast(job_id, queue, step) for step in spec.steps
+    ]
+    return path_times(
+        spec,
+        [
+            forecast.last_of_ms(step.count, spreads)
+            for forecast, step in zip(forecasts, spec.steps, strict=True)
+        ],
+        [forecast.mean_ms for forecast in forecasts],
+    )
--- a/src/sardinespool/dispatch/run_time_forecast.py
+++ b/src/sardinespool/dispatch/run_time_forecast.py
@@ -106,7 +106,9 @@
         # Median of the largest of `count` draws.
         distance = _NORMAL.inv_cdf(0.5 ** (1.0 / max(1, count)))
         core_ms = math.exp(middle + distance * self.task_spread)
-        if spreads < 0 or count * self.straggler_share < math.log(2):
+        # A straggler is assumed if that many jobs have one at least.
+        share_without = (1.0 - self.straggler_share) ** count
+        if _upper_tail(-spreads) <= share_without:
             return core_ms
         return max(core_ms, math.exp(middle + self.straggler_log))
 
--- a/src/sardinespool/dispatch/run_times.py
+++ b/src/sardinespool/dispatch/run_times.py
@@ -23,7 +23,6 @@
 from collections.abc import Iterable
 
 from sardinespool.dispatch.moments import DecayedMoments
-from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.run_time_forecast import RunTimeForecast
 from sardinespool.messages.estimates import RunTimeRecord
 from sardinespool.messages.workflows import StepSpec
@@ -52,7 +51,7 @@
 """Jobs from which on the typical run time of a queue is known."""
 OUTLIER_SPREADS = 3.0
 """Standard deviations beyond which the error of a job is not drawn towards
-that of its class, and beyond which it moves the class no further."""
+that of its class."""
 JOB_TASKS_MAX = 32
 """Ended tasks kept of a job; the error of the mean is then under 5%."""
 JOBS_MAX = 4_000
@@ -77,6 +76,8 @@
         is that of the class without the error of the job.
     core : list of float
         `deviations` without those of stragglers.
+    expected_logs : dict of int to float
+        What was expected by declared time, as a logarithm.
     entries : dict of ClassKey to (float, int, float or None)
         What the job has contributed to each class: the logarithm of its run
         time, the number of jobs of the class up to it, and the logarithm of
@@ -85,6 +86,7 @@
 
     deviations: list[float]
     core: list[float]
+    expected_logs: dict[int, float]
     entries: dict[ClassKey, tuple[float, int, float | None]]
 
 
@@ -148,23 +150,6 @@
         self._classes: dict[ClassKey, _Class] = {}
         self._jobs: dict[str, _Job] = {}
 
-    def run_done(self, run: RunState, end_clock_ms: int) -> None:
-        """Learn from a run that is done, if its duration is known.
-
-        Parameters
-        ----------
-        run : RunState
-            The run.
-        end_clock_ms : int
-            Reading of the worker's clock when it listed the end.
-        """
-        run_ms = run.measure_ms(end_clock_ms)
-        if run_ms is not None and run.step is not None:
-            workflow = run.step.workflow
-            self.observe(
-                workflow.job_id, workflow.queue.name, run.step.spec, run_ms
-            )
-
     def observe(
         self, job_id: str, queue: str, spec: StepSpec, run_ms: int
     ) -> None:
@@ -183,16 +168,19 @@
         """
         if spec.long_running or run_ms <= 0:
             return
-        expected_log, job_spread = self._expect(queue, spec)
-        run_log = math.log(run_ms)
         job = self._jobs.get(job_id)
         if job is None:
-            job = self._jobs[job_id] = _Job([], [], {})
+            job = self._jobs[job_id] = _Job([], [], {}, {})
             while len(self._jobs) > JOBS_MAX:
                 del self._jobs[next(iter(self._jobs))]
         if len(job.deviations) >= JOB_TASKS_MAX:
             return
-        deviation = run_log - expected_log
+        # What is expected of a step stays the same while its tasks end, as
+        # their deviations are compared with each other.
+        expected_log = job.expected_logs.setdefault(
+            spec.expected_run_ms, self._expect(queue, spec)[0]
+        )
+        deviation = math.log(run_ms) - expected_log
         straggles = False
         if job.core:
             beyond = deviation - statistics.fmean(job.core)
@@ -208,11 +196,9 @@
         ]
         if straggles:
             return
-        error = statistics.fmean(job.core)
-        limit = OUTLIER_SPREADS * job_spread
-        error = max(-limit, min(limit, error))
+        run_log = expected_log + statistics.fmean(job.core)
         for key in _class_keys(queue, spec):
-            self._update_class(key, job, spec, expected_log + error)
+            self._update_class(key, job, spec, run_log)
 
     def _update_class(
         self, key: ClassKey, job: _Job, spec: StepSpec, run_log: float
@@ -231,9 +217,12 @@
             return
         declared_log = None
         found.run_log.add(run_log)
-        if self._is_credible(key[0], spec.expected_run_ms):
-            declared_log = math.log(spec.expected_run_ms)
-            found.location.add(run_log - declared_log)
+        if spec.expected_run_ms > 0:
+            ratio_log = run_log - math.log(spec.expected_run_ms)
+            # A declared time of no meaning must not change what others mean.
+            if abs(ratio_log) <= CREDIBLE_LOG:
+                declared_log = math.log(spec.expected_run_ms)
+                found.location.add(ratio_log)
         job.entries[key] = run_log, found.run_log.count, declared_log
 
     def forecast(
@@ -255,6 +244,9 @@
         task_spread = found.task_spread
         job = self._jobs.get(job_id)
         if job is not None and job.core:
+            expected_log = job.expected_logs.get(
+                spec.expected_run_ms, expected_log
+            )
             error = statistics.fmean(job.core)
             error_variance = task_spread**2 / len(job.core)
             if abs(error) <= OUTLIER_SPREADS * job_spread:
--- a/src/sardinespool/dispatch/step_priority.py
+++ b/src/sardinespool/dispatch/step_priority.py
@@ -142,29 +142,43 @@
         ):
             continue
         age_ms = now_unix_ms - step.workflow.accepted_unix_ms
-        if (
-            age_ms + step.remaining_path_ms
-            > CONGESTED_OBJECTIVE_SHARE * objective_of(step, queue)
-        ):
+        if age_ms + remaining_path_ms(
+            step
+        ) > CONGESTED_OBJECTIVE_SHARE * objective_of(step, queue):
             names.add(queue.name)
     return names
 
 
 def objective_of(step: StepRecord, queue: QueueSpec) -> int:
     """Return the completion objective of a step's job in milliseconds."""
-    return queue.latency_objective_ms + int(
-        queue.stretch * step.workflow.critical_path_ms
+    predicted = step.workflow.predicted
+    path_ms = (
+        step.workflow.critical_path_ms
+        if predicted is None
+        else predicted.critical_ms
     )
+    return queue.latency_objective_ms + int(queue.stretch * path_ms)
+
+
+def remaining_path_ms(step: StepRecord) -> float:
+    """Return the predicted, else the declared time from a step on."""
+    predicted = step.workflow.predicted
+    if predicted is None:
+        return step.remaining_path_ms
+    return predicted.remaining_ms[step.position]
 
 
 def lateness(step: StepRecord, objective_ms: int, age_ms: int) -> int:
     """Return 0, 1 or 2 for a job expected in time, late or too late."""
-    slowdown = (
-        BEST_EFFORT_SLOWDOWN
-        if step.spec.uses_leftover_processors
-        else RESERVED_SLOWDOWN
-    )
-    end_age_ms = age_ms + slowdown * step.remaining_path_ms
+    slowdown = 1.0
+    # Predicted times contain the last of the tasks, and throttling.
+    if step.workflow.predicted is None:
+        slowdown = (
+            BEST_EFFORT_SLOWDOWN
+            if step.spec.uses_leftover_processors
+            else RESERVED_SLOWDOWN
+        )
+    end_age_ms = age_ms + slowdown * remaining_path_ms(step)
     return (end_age_ms > objective_ms) + (
         end_age_ms > EXPIRY_OBJECTIVES * objective_ms
     )
@@ -173,11 +187,15 @@
 def work_left(step: StepRecord) -> float:
     """Return the share of the work of a step's occurrence that is left."""
     total = left = 0.0
+    predicted = step.workflow.predicted
     for other in step.workflow.occurrences[step.occurrence]:
         spec = other.spec
-        task_work = max(1, spec.expected_run_ms) * max(
-            1, spec.processors_millicores
+        task_ms = (
+            spec.expected_run_ms
+            if predicted is None
+            else predicted.steps_ms[other.position]
         )
+        task_work = max(1, task_ms) * max(1, spec.processors_millicores)
         running = other.remaining - len(other.waiting)
         total += task_work * spec.count
         left += task_work * (len(other.waiting) + RUNNING_TASK_WORK * running)
--- a/src/sardinespool/workflows/critical_path.py
+++ b/src/sardinespool/workflows/critical_path.py
@@ -1,8 +1,52 @@
 """Critical path of a job, and its part from a step on."""
 
+import dataclasses
+from collections.abc import Sequence
+
 from sardinespool.messages.workflows import WorkflowSpec
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathTimes:
+    """Predicted times of one occurrence of a job, by position of the step.
+
+    Attributes
+    ----------
+    critical_ms : float
+        Time of the critical path.
+    remaining_ms : tuple of float
+        Time of the longest path from each step on.
+    steps_ms : tuple of float
+        Time from the start of all tasks of a step to the end of the last.
+    tasks_ms : tuple of float
+        Mean run time of a task of each step.
+    """
+
+    critical_ms: float
+    remaining_ms: tuple[float, ...]
+    steps_ms: tuple[float, ...]
+    tasks_ms: tuple[float, ...]
+
+
+def path_times(
+    spec: WorkflowSpec, steps_ms: Sequence[float], tasks_ms: Sequence[float]
+) -> PathTimes:
+    """Return the times of all paths, given those of steps and tasks."""
+    remaining_ms = list(steps_ms)
+    for position in range(len(steps_ms) - 1, -1, -1):
+        for predecessor in spec.steps[position].after:
+            remaining_ms[predecessor] = max(
+                remaining_ms[predecessor],
+                steps_ms[predecessor] + remaining_ms[position],
+            )
+    return PathTimes(
+        max(remaining_ms, default=0.0),
+        tuple(remaining_ms),
+        tuple(steps_ms),
+        tuple(tasks_ms),
+    )
+
+
 def critical_path_ms(spec: WorkflowSpec) -> int:
     """Return the expected run time of the critical path.
 
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -13,6 +13,7 @@
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.messages.workflows import WorkflowState
 from sardinespool.workflows.critical_path import critical_path_ms
+from sardinespool.workflows.critical_path import PathTimes
 from sardinespool.workflows.critical_path import remaining_path_ms
 from sardinespool.workflows.task_key import task_key
 
@@ -202,6 +203,9 @@
         Whether a worker is known to have begun a task of the job.
     critical_path_ms : int
         Expected run time of the critical path.
+    predicted : PathTimes or None
+        Predicted times. The leader sets them from learned run times; they are
+        not replicated and decide only the order of starts and admission.
     occurrences : dict of int to list of StepRecord
         Steps of the opened occurrences.
     workspace : str
@@ -216,6 +220,7 @@
         "ended_unix_ms",
         "job_id",
         "occurrences",
+        "predicted",
         "queue",
         "spec",
         "state",
@@ -238,6 +243,7 @@
         self.state: WorkflowState = "queued"
         self.begun = False
         self.critical_path_ms = critical_path_ms(spec)
+        self.predicted: PathTimes | None = None
         self.ended_unix_ms = 0
         self.occurrences: dict[int, list[StepRecord]] = {}
         self.done_occurrences = 0
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -66,6 +66,8 @@
         Ends in one list; the others are listed once these are acknowledged.
     refuses_starts : bool
         Whether the worker is unhealthy and does nothing for a start.
+    failure_domain : str
+        Failure domain that it reports.
     refused : int
         Number of starts that it refused so.
     fenced : int
@@ -86,6 +88,7 @@
         self.ends_listed_max = 500
         self.refuses_starts = False
         self.refused = 0
+        self.failure_domain = "centro"
         self.up = True
         self.reachable = True
         self._host = worker_id
@@ -148,7 +151,7 @@
             incarnation=self.incarnation,
             address="10.0.0.1:80",
             pool="pool",
-            failure_domain="centro",
+            failure_domain=self.failure_domain,
             host=self._host,
             labels=(),
             processors_millicores=self.processors_millicores,
