Give up tasks that crash their workers late

Change: runs of any age count, and the fourth crash makes the job fail. Trials of such tasks keep others off until they have lived longer than at the crashes before, on a quarter of a pool at most.

--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -159,7 +159,9 @@
                 < worker.lease_end_ms + margin_ms
             ):
                 continue
-            self._fleet.crashes.process_ended(worker, Loss.LEASE_EXPIRED)
+            self._fleet.crashes.process_ended(
+                worker, Loss.LEASE_EXPIRED, len(self._fleet.workers)
+            )
             for run in list(worker.runs.values()):
                 if run.committed:
                     self._control.end_run(
--- a/src/sardinespool/dispatch/crash_recorder.py
+++ b/src/sardinespool/dispatch/crash_recorder.py
@@ -2,9 +2,13 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch import crash_trials
+from sardinespool.dispatch.crash_history import Crash
+from sardinespool.dispatch.crash_history import CrashHistory
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.observability.logs import get_logger
+from sardinespool.workflows import crash_evidence
 
 OUTAGE_WINDOW_MS = 1_500
 """Time within which workers of a failure domain go silent that lost power or
@@ -27,14 +31,21 @@
     ----------
     metrics : DispatchMetrics
         Counts crashes and suspects.
+
+    Attributes
+    ----------
+    history : CrashHistory
+        The crashes of the last minute.
     """
 
     def __init__(self, metrics: DispatchMetrics) -> None:
         self._metrics = metrics
+        self.history = CrashHistory()
         self._silences: dict[str, dict[str, int]] = {}
 
     def reset(self) -> None:
-        """Forget which workers went silent."""
+        """Forget which workers crashed, and which went silent."""
+        self.history.reset()
         self._silences.clear()
 
     def note_silence(self, worker: WorkerState, now: Instant) -> None:
@@ -59,19 +70,46 @@
         silences.pop(worker.worker_id, None)
 
     def process_ended(
-        self, worker: WorkerState, loss: crash_trials.Loss
+        self, worker: WorkerState, loss: crash_trials.Loss, workers: int
     ) -> None:
-        """Mark the suspects if a worker whose process ended has crashed."""
-        if not worker.runs or not crash_trials.is_crash(
-            worker, loss, self._is_in_outage(worker)
-        ):
+        """Mark the suspects if a worker whose process ended has crashed.
+
+        Parameters
+        ----------
+        worker : WorkerState
+            The worker.
+        loss : Loss
+            What the leader knows of its end.
+        workers : int
+            Number of workers that the leader knows.
+        """
+        if not crash_trials.is_crash(worker, loss, self._is_in_outage(worker)):
+            return
+        crash = Crash(
+            worker.last_answer_boot_ms,
+            worker.description.host,
+            {
+                crash_trials.unit_key(run.task): crash_trials.observed_age_ms(
+                    worker, run
+                )
+                for run in worker.runs.values()
+                if run.task is not None
+            },
+        )
+        suspects = [
+            (run, suspect)
+            for run, suspect in crash_trials.suspects_of_crash(worker)
+            if not self._may_be_chance(worker, run, crash, workers)
+        ]
+        self.history.add(crash)
+        if not worker.runs:
             return
-        suspects = crash_trials.suspects_of_crash(worker)
         for run, suspect in suspects:
             # A run that an earlier incarnation passed on is marked already.
             if not run.crash:
                 run.crash = crash_trials.crash_key(worker)
                 run.suspect = suspect
+                run.crash_age_ms = crash_trials.observed_age_ms(worker, run)
         prime = [run.task_key for run, suspect in suspects if suspect]
         self._metrics.crashes.inc()
         for _ in prime:
@@ -88,6 +126,23 @@
             tasks=" ".join(prime[:LOGGED_TASKS_MAX]),
         )
 
+    def _may_be_chance(
+        self, worker: WorkerState, run: RunState, crash: Crash, workers: int
+    ) -> bool:
+        """Return whether a crash says nothing about a long-running task."""
+        return (
+            run.task is not None
+            and run.task.step.spec.long_running
+            and crash_trials.observed_age_ms(worker, run)
+            >= crash_trials.TRIAL_MS
+            and self.history.may_be_chance(
+                crash,
+                crash_trials.unit_key(run.task),
+                crash_evidence.crash_count(run.task),
+                workers,
+            )
+        )
+
     def _is_in_outage(self, worker: WorkerState) -> bool:
         """Return whether others of the domain went silent with a worker."""
         since_boot_ms = worker.silent_since_boot_ms
--- a/src/sardinespool/dispatch/crash_trials.py
+++ b/src/sardinespool/dispatch/crash_trials.py
@@ -2,13 +2,16 @@
 
 A crash ends all runs of the worker, and each of the recent ones may be its
 cause. These suspects therefore start again in trials: nothing else starts on
-the worker of a trial until the trial has run for `TRIAL_MS`. The functions
-decide which ends of workers are crashes, which runs are suspects, and which
-workers may take a trial; they do no I/O.
+the worker of a trial until the trial has run for `TRIAL_MS`. A task may also
+crash its workers long after its start; its trials are late ones, which keep
+other tasks off until they have lived longer than the runs that crashed. The
+functions decide which ends of workers are crashes, which runs are suspects,
+and which workers may take a trial; they do no I/O.
 """
 
 import enum
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
@@ -18,8 +21,15 @@
 
 TRIAL_MS = 500
 """Age from which a run is no prime suspect, and a trial has passed."""
-YOUNG_RUN_MS = 5_000
-"""Age from which a run doesn't count for a crash."""
+LATE_TRIAL_MARGIN_MS = 1_500
+"""Time that a late trial lasts beyond 1.25 times the greatest age at a crash:
+the known age ends with the last answer, up to 1 s before the crash."""
+LATE_TRIAL_MAX_MS = 15_000
+"""Limit of a late trial. A task that crashes its workers later than that is
+not isolated, as a worker would be held for too long."""
+HELD_WORKERS_RATIO = 4
+"""Late trials hold at most one worker in so many, as a crash of many workers
+makes suspects of many healthy tasks."""
 TRIAL_WAIT_MS = 2_000
 """Wait after which a suspect may start beside other runs. A job with nothing
 running counts as lost after 3 s beside free capacity."""
@@ -77,10 +87,11 @@
 def suspects_of_crash(worker: WorkerState) -> list[tuple[RunState, bool]]:
     """Return the runs that count for a crash, and which are prime suspects.
 
-    Beside a trial only prime suspects count, not the older runs. A trial is
-    inconclusive if it isn't the only prime suspect, or if the worker went
-    silent, as it may have been gone before the start: the run counts, and its
-    task gets another trial.
+    Runs of any age count, but those of long-running tasks are weighed later,
+    see `crash_history`. Beside a trial only prime suspects and late trials
+    count, not the older runs. A trial is inconclusive if it isn't the only
+    prime suspect, or if the worker went silent, as it may have been gone
+    before the start: the run counts, and its task gets another trial.
     """
     runs = [
         run for run in worker.runs.values() if may_have_started(worker, run)
@@ -91,11 +102,11 @@
         or len({unit_key(run.task) for run in prime if run.task}) > 1
     )
     if any(run.trial for run in prime):
-        counted = prime
-    else:
         counted = [
-            run for run in runs if observed_age_ms(worker, run) < YOUNG_RUN_MS
+            run for run in runs if run in prime or is_late_trial(worker, run)
         ]
+    else:
+        counted = runs
     return [
         (run, run in prime and not (run.trial and is_ambiguous))
         for run in counted
@@ -134,6 +145,57 @@
     ]
 
 
+def late_trial_ms(task: TaskRecord) -> int:
+    """Return the age until which a trial of a task keeps others off."""
+    crash_age_ms = crash_evidence.crash_age_ms(task)
+    if crash_age_ms < TRIAL_MS:
+        return TRIAL_MS
+    trial_ms = crash_age_ms + crash_age_ms // 4 + LATE_TRIAL_MARGIN_MS
+    return trial_ms if trial_ms <= LATE_TRIAL_MAX_MS else TRIAL_MS
+
+
+def is_late_trial(worker: WorkerState, run: RunState) -> bool:
+    """Return whether a trial has lived for `TRIAL_MS`, but is still open."""
+    return (
+        run.trial
+        and run.task is not None
+        and run.phase is not RunPhase.ENDED
+        and TRIAL_MS <= observed_age_ms(worker, run) < late_trial_ms(run.task)
+    )
+
+
+def is_held(worker: WorkerState) -> bool:
+    """Return whether a worker is kept free for a late trial."""
+    return any(is_late_trial(worker, run) for run in worker.trials.values())
+
+
+def split_held(
+    workers: Sequence[WorkerState],
+) -> tuple[list[WorkerState], list[WorkerState]]:
+    """Return the workers that late trials leave free, and those they hold."""
+    held = [worker for worker in workers if is_held(worker)]
+    del held[len(workers) // HELD_WORKERS_RATIO :]
+    held_ids = {worker.worker_id for worker in held}
+    return [
+        worker for worker in workers if worker.worker_id not in held_ids
+    ], held
+
+
+def evidence_age_ms(worker: WorkerState, run: RunState) -> int:
+    """Return the age of an ended run to record, or 0 if it is no evidence.
+
+    Besides the ages at crashes, those of long-running tasks with crashes
+    count, since a long life clears them.
+    """
+    if run.crash:
+        return run.crash_age_ms
+    task = run.task
+    if task is None or not task.step.spec.long_running:
+        return 0
+    has_crashes = crash_evidence.crash_count(task) > 0
+    return observed_age_ms(worker, run) if has_crashes else 0
+
+
 def ms_until_trials_end(worker: WorkerState) -> int | None:
     """Return the time until the youngest open trial has passed."""
     trials = open_trials(worker)
--- a/src/sardinespool/dispatch/end_queue.py
+++ b/src/sardinespool/dispatch/end_queue.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from sardinespool.dispatch import crash_trials
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.worker_state import RunKey
 from sardinespool.dispatch.worker_state import WorkerState
@@ -40,6 +41,7 @@
     ) -> None:
         """Queue the end of a run."""
         crash = run.crash if outcome == "lost" else ""
+        lived_ms = crash_trials.evidence_age_ms(worker, run)
         self._pending_ends.append(
             RunEnd(
                 run.task_key,
@@ -48,6 +50,7 @@
                 run.checkpoint,
                 crash,
                 run.suspect and bool(crash),
+                lived_ms,
             )
         )
         self._ended_runs.append((worker, run))
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -260,14 +260,14 @@
         )
         successor.restarted = True
         self.workers[worker.worker_id] = successor
-        self.crashes.process_ended(worker, Loss.RESTARTED)
+        self.crashes.process_ended(worker, Loss.RESTARTED, len(self.workers))
         worker_restart.move_runs(
             worker, successor, self._settings, self._end_run, now
         )
 
     def drop(self, worker: WorkerState, loss: Loss) -> None:
         """Remove a worker whose process has ended, and end its runs."""
-        self.crashes.process_ended(worker, loss)
+        self.crashes.process_ended(worker, loss, len(self.workers))
         for run in list(worker.runs.values()):
             self._end_run(worker, run, "lost", loss.value)
         self.workers.pop(worker.worker_id, None)
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -150,14 +150,8 @@
         )
         planned = self._trials.place(candidates, set_aside, now)
         placers = {
-            pool: Placer(
-                self._trials.workers_for_other_tasks(
-                    pool, candidates.get(pool, ())
-                ),
-                self._best_effort,
-                self._trials.workers_for_other_tasks(
-                    pool, set_aside.get(pool, ())
-                ),
+            pool: self._trials.placer_of_other_tasks(
+                pool, candidates.get(pool, ()), set_aside.get(pool, ())
             )
             for pool in candidates.keys() | set_aside.keys()
         }
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -62,6 +62,8 @@
         Worker incarnation that crashed under the run, or "".
     suspect : bool
         Whether the run is a prime suspect of that crash.
+    crash_age_ms : int
+        How long the run is known to have lived at that crash.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "in_flight",
         "confirmed_boot_ms",
         "crash",
+        "crash_age_ms",
         "listed",
         "load",
         "ordered_boot_ms",
@@ -125,6 +128,7 @@
         self.trial = False
         self.first_seen_clock_ms: int | None = None
         self.crash = ""
+        self.crash_age_ms = 0
         self.suspect = False
         self.tail = TailHistory()
         self.pace = FULL_PACE
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -115,6 +115,23 @@
             )
         ]
 
+    def placer_of_other_tasks(
+        self,
+        pool: str,
+        candidates: Sequence[WorkerState],
+        set_aside: Sequence[WorkerState],
+    ) -> Placer:
+        """Return the placer of a pool for tasks that are no suspects.
+
+        Workers that late trials hold are a last resort.
+        """
+        free, held = crash_trials.split_held(candidates)
+        return Placer(
+            self.workers_for_other_tasks(pool, free),
+            self._best_effort,
+            self.workers_for_other_tasks(pool, [*set_aside, *held]),
+        )
+
     def has_other_waiting(self, step: StepRecord) -> bool:
         """Return whether a task that is no suspect waits in a step."""
         return any(
@@ -179,11 +196,28 @@
         workers: list[WorkerState],
         is_overdue: bool,
     ) -> WorkerState | None:
-        """Return the best worker for a trial, if possible an isolated one."""
+        """Return the best worker for a trial, if possible an isolated one.
+
+        Of equal workers, one whose host crashed under the task comes last, as
+        the host may be the cause itself.
+        """
         placer = Placer((), self._best_effort)
-        best: tuple[tuple[bool, bool, int, float], WorkerState] | None = None
+        hosts = self._fleet.crashes.history.hosts_of(
+            crash_trials.unit_key(task)
+        )
+        has_other_hosts = any(
+            worker.description.host not in hosts for worker in workers
+        )
+        best: (
+            tuple[tuple[bool, bool, bool, int, float], WorkerState] | None
+        ) = None
         for worker in workers:
-            is_isolated = crash_trials.has_only_trials(worker)
+            is_repeated = worker.description.host in hosts
+            if is_repeated and has_other_hosts and not is_overdue:
+                continue
+            is_isolated = crash_trials.has_only_trials(
+                worker
+            ) and not crash_trials.is_held(worker)
             if not (is_isolated or is_overdue):
                 continue
             if worker.trials and not crash_trials.admits_trial(worker, task):
@@ -199,9 +233,9 @@
                 continue
             has_young_runs, millicores = crash_trials.trial_risk(worker)
             rank = (
-                (False, False, 0, -score)
+                (False, is_repeated, False, 0, -score)
                 if is_isolated
-                else (True, has_young_runs, millicores, -score)
+                else (True, is_repeated, has_young_runs, millicores, -score)
             )
             if best is None or rank < best[0]:
                 best = rank, worker
--- a/src/sardinespool/messages/workflows.py
+++ b/src/sardinespool/messages/workflows.py
@@ -162,8 +162,9 @@
     """End of a run, with its last checkpoint or "".
 
     `crash` names the worker incarnation that crashed under the run, or is "".
-    `suspect` tells whether the run is a prime suspect of that crash. Earlier
-    builds store neither.
+    `suspect` tells whether the run is a prime suspect of that crash.
+    `lived_ms` is how long the run is known to have lived, where that is
+    evidence for or against its task. Earlier builds store none of the three.
     """
 
     task: str
@@ -172,6 +173,7 @@
     checkpoint: str = ""
     crash: str = ""
     suspect: bool = False
+    lived_ms: int = 0
 
 
 class RecordRuns(Message, frozen=True, kw_only=True):
--- a/src/sardinespool/workflows/crash_evidence.py
+++ b/src/sardinespool/workflows/crash_evidence.py
@@ -16,6 +16,10 @@
 causes: a task beside it, then a crash of the trial's worker by itself."""
 CRASHES_MAX = 4
 """Crashes at which the job fails without a failed trial."""
+CLEARING_AGE_MS = 60_000
+"""Age at which a run of a long-running task clears its earlier crashes. Such
+tasks run until they are cancelled, and workers crash under them by themselves
+again and again."""
 
 
 def crash_count(task: TaskRecord) -> int:
@@ -23,19 +27,47 @@
     return sum(len(member.crashed_runs) for member in task.members)
 
 
-def add_crashed_run(task: TaskRecord, run: int) -> bool:
+def add_crashed_run(task: TaskRecord, end: RunEnd) -> bool:
     """Record a crashed run; return whether it was not recorded before.
 
     A run belongs to one worker incarnation, so it counts once however often
     and in which way the crash is seen. One run of a gang counts once, however
     many workers crash under its members.
     """
-    if any(run in member.crashed_runs for member in task.members):
+    if any(
+        end.run in member.crashed_runs or end.run <= member.cleared_run
+        for member in task.members
+    ):
         return False
-    task.crashed_runs |= {run}
+    task.crashed_runs |= {end.run}
+    task.crash_age_ms = max(task.crash_age_ms, end.lived_ms)
     return True
 
 
+def crash_age_ms(task: TaskRecord) -> int:
+    """Return the greatest age of a run of a task, or its gang, at a crash."""
+    return max(member.crash_age_ms for member in task.members)
+
+
+def is_clearing(task: TaskRecord, end: RunEnd) -> bool:
+    """Return whether a run has lived so long that its task is healthy."""
+    return task.step.spec.long_running and end.lived_ms >= CLEARING_AGE_MS
+
+
+def clear_crashes(task: TaskRecord, run: int) -> None:
+    """Drop the evidence of the runs up to one, also if recorded again."""
+    for member in task.members:
+        if run <= member.cleared_run:
+            continue
+        member.cleared_run = run
+        member.crashed_runs = frozenset(
+            crashed for crashed in member.crashed_runs if crashed > run
+        )
+        if not member.crashed_runs:
+            member.crash_age_ms = 0
+            member.suspected_crash = ""
+
+
 def is_failed_trial(task: TaskRecord, end: RunEnd) -> bool:
     """Return whether the task of a trial is the only suspect of a crash."""
     return bool(end.crash) and end.suspect and end.run == task.trial_run
--- a/src/sardinespool/workflows/records.py
+++ b/src/sardinespool/workflows/records.py
@@ -44,11 +44,17 @@
         Latest crash of which the task is a prime suspect, or "".
     trial_run : int
         Number of the latest run that is a trial, 0 if none is.
+    crash_age_ms : int
+        Greatest age at which one of the crashed runs is known to have lived.
+    cleared_run : int
+        Runs up to this number don't count as crashed any more.
     """
 
     __slots__ = (
         "checkpoint",
         "checkpoint_run",
+        "cleared_run",
+        "crash_age_ms",
         "crashed_runs",
         "failed_runs",
         "incarnation",
@@ -79,6 +85,8 @@
         self.crashed_runs: frozenset[int] = frozenset()
         self.suspected_crash = ""
         self.trial_run = 0
+        self.crash_age_ms = 0
+        self.cleared_run = 0
 
     @property
     def failures(self) -> int:
--- a/src/sardinespool/workflows/snapshot.py
+++ b/src/sardinespool/workflows/snapshot.py
@@ -20,7 +20,7 @@
 
     Earlier builds store no `failed_runs` and no `checkpoint_run`; they read
     only `failures`, the number of failed runs. The fields from `crashed_runs`
-    on came later.
+    on came later, and those from `crash_age_ms` on still later.
     """
 
     state: int
@@ -34,6 +34,8 @@
     crashed_runs: tuple[int, ...] = ()
     suspected_crash: str = ""
     trial_run: int = 0
+    crash_age_ms: int = 0
+    cleared_run: int = 0
 
 
 class WorkflowSnapshot(msgspec.Struct, frozen=True):
@@ -104,6 +106,8 @@
                         tuple(sorted(task.crashed_runs)),
                         task.suspected_crash,
                         task.trial_run,
+                        task.crash_age_ms,
+                        task.cleared_run,
                     )
                     for task in step.tasks
                 )
@@ -143,6 +147,8 @@
                 task.crashed_runs = frozenset(stored.crashed_runs)
                 task.suspected_crash = stored.suspected_crash
                 task.trial_run = stored.trial_run
+                task.crash_age_ms = stored.crash_age_ms
+                task.cleared_run = stored.cleared_run
                 if task.checkpoint and not task.checkpoint_run:
                     task.checkpoint_run = task.ended_run
                 if task.state is not TaskState.DONE:
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -218,7 +218,11 @@
 
     def _record_crash(self, task: TaskRecord, end: RunEnd) -> bool:
         """Record a crash, if any; return whether the job fails by it."""
-        if not end.crash or not crash_evidence.add_crashed_run(task, end.run):
+        if crash_evidence.is_clearing(task, end):
+            crash_evidence.clear_crashes(task, end.run)
+            self._update_suspects(task.members)
+            return False
+        if not end.crash or not crash_evidence.add_crashed_run(task, end):
             return False
         if crash_evidence.is_failed_trial(task, end):
             self._clear_other_suspects(task)
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -59,7 +59,9 @@
     run_time_ms : callable or None
         Run time of a task by its name; drawn at random if None.
     crashing_tasks : set of str
-        Tasks that crash the worker shortly after they start.
+        Tasks that crash the worker `crash_delay_ms` after they start.
+    checkpoint : str
+        Checkpoint that each run lists.
     on_crash : callable or None
         Called when a task has crashed the worker.
     ends_listed_max : int
@@ -81,6 +83,8 @@
         self.failure_ratio = 0.05
         self.run_time_ms: Callable[[str], int] | None = None
         self.crashing_tasks: set[str] = set()
+        self.crash_delay_ms = CRASH_DELAY_MS
+        self.checkpoint = ""
         self.on_crash: Callable[[], None] | None = None
         self.fenced = 0
         self.ends_listed_max = 500
@@ -169,6 +173,8 @@
         """End the runs that are due, and all runs if the lease expired."""
         if not self.up:
             return
+        if now_ms >= self._crash_ms and self._crash_cause not in self.running:
+            self._crash_ms = NEVER_MS
         if now_ms >= self._crash_ms:
             self._oracle.crashed(self._crash_cause, self.worker_id)
             self.crash()
@@ -233,7 +239,7 @@
         """Return the running and the ended runs."""
         percent = 50 if self.hanging else now_ms // 100 % 100
         running = tuple(
-            RunningRun(task, item.run, "", percent, None)
+            RunningRun(task, item.run, self.checkpoint, percent, None)
             for task, item in self.running.items()
         )
         ended = tuple(self._ended[: self.ends_listed_max])
@@ -279,7 +285,7 @@
         )
         self._oracle.started(order.task, self.worker_id, sent_ms)
         if order.task in self.crashing_tasks and self._crash_ms == NEVER_MS:
-            self._crash_ms = now_ms + CRASH_DELAY_MS
+            self._crash_ms = now_ms + self.crash_delay_ms
             self._crash_cause = order.task
         return OrderDone(clock_ms)
 
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -41,6 +41,7 @@
 from sardinespool.observability.metrics import Metrics
 from sardinespool.replication.status import ReplicaStatus
 from sardinespool.replication.status import Role
+from testing.dispatch.fake_worker import CRASH_DELAY_MS
 from testing.dispatch.fake_worker import FakeWorker
 from testing.dispatch.oracle import FAILURES_MAX
 from testing.dispatch.oracle import Oracle
@@ -186,7 +187,12 @@
         self.serving = False
         self.at(downtime_ms, self.lead)
 
-    def make_crashing(self, downtime_ms: int, keep_id: bool) -> None:
+    def make_crashing(
+        self,
+        downtime_ms: int,
+        keep_id: bool,
+        delay_ms: int = CRASH_DELAY_MS,
+    ) -> None:
         """Let `crashing_tasks` crash each worker that starts them.
 
         Parameters
@@ -196,6 +202,8 @@
         keep_id : bool
             Whether it is back under its earlier id; it has the same host
             in any case.
+        delay_ms : int
+            Time from the start of a task to the crash.
         """
 
         def handle_crash(worker: FakeWorker, host: str) -> None:
@@ -214,6 +222,7 @@
         self.hosts_refuse = True
         for host, worker in self.workers.items():
             worker.crashing_tasks = self.crashing_tasks
+            worker.crash_delay_ms = delay_ms
             worker.on_crash = functools.partial(handle_crash, worker, host)
 
     def lapse_lease(self, duration_ms: int) -> None:
--- a/testing/dispatch/test_crash_detection.py
+++ b/testing/dispatch/test_crash_detection.py
@@ -176,24 +176,28 @@
 
 
 def test_run_that_has_lived_long_does_not_count() -> None:
-    """Guards against long runs that are blamed for the crash of a worker."""
+    """Guards against long-running tasks blamed for a crash of their worker.
+
+    Their life of a minute also clears the crash before.
+    """
     simulation = Simulation(1, workers=3)
     simulation.hosts_refuse = True
     for worker in simulation.workers.values():
         worker.failure_ratio = 0.0
-        worker.run_time_ms = lambda task: 90_000
+        worker.run_time_ms = lambda task: 200_000
     simulation.run(1_500)
     simulation.submit("job", msgspec.structs.replace(SPEC, long_running=True))
-    simulation.run(7_000)
-    (worker,) = [
-        worker for worker in simulation.workers.values() if worker.running
-    ]
-    crash_with_new_id(simulation, worker)
-    simulation.run(14_000)
     task = simulation.machine.table.task("job.0.0.0")
     assert task is not None
-    assert task.run == 2
-    assert not task.crashed_runs
+    for age_ms, crashed_runs in ((7_000, {1}), (66_000, set())):
+        simulation.run(age_ms)
+        (worker,) = [
+            worker for worker in simulation.workers.values() if worker.running
+        ]
+        crash_with_new_id(simulation, worker)
+        simulation.run(5_000)
+        assert task.crashed_runs == crashed_runs
+    assert task.run == 3
 
 
 def restart_from_snapshot(simulation: Simulation) -> None:
--- a/testing/dispatch/test_crash_recorder.py
+++ b/testing/dispatch/test_crash_recorder.py
@@ -28,5 +28,5 @@
     if other_answers:
         recorder.note_answer(other)
     recorder.note_silence(worker, Instant(1_000, 2_000))
-    recorder.process_ended(worker, Loss.HOST_REUSED)
+    recorder.process_ended(worker, Loss.HOST_REUSED, 2)
     assert bool(run.crash) is is_crash
--- a/testing/dispatch/test_crash_trials.py
+++ b/testing/dispatch/test_crash_trials.py
@@ -11,7 +11,6 @@
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.crash_trials import TRIAL_MS
 from sardinespool.dispatch.crash_trials import TRIAL_WAIT_MS
-from sardinespool.dispatch.crash_trials import YOUNG_RUN_MS
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.tail_model import TailModel
@@ -103,22 +102,22 @@
 @pytest.mark.parametrize(
     ("lives", "closed", "counted", "suspects"),
     [
-        # The most recent starts are prime suspects, the next ones count.
+        # The most recent starts are prime suspects, all others count.
         (
             (
                 Life("a", 100),
                 Life("b", TRIAL_MS),
-                Life("c", YOUNG_RUN_MS),
+                Life("c", 30_000),
             ),
             True,
-            {"a", "b"},
+            {"a", "b", "c"},
             {"a"},
         ),
         # A start without an answer may have crashed the worker.
         (
             (Life("a", None, unanswered=1), Life("b", 9_000)),
             True,
-            {"a"},
+            {"a", "b"},
             {"a"},
         ),
         # One that was never sent can't, nor one to the next process.
--- a/testing/dispatch/test_crashing_tasks.py
+++ b/testing/dispatch/test_crashing_tasks.py
@@ -95,10 +95,13 @@
     assert simulation.oracle.crashes.total() > 0
 
 
-def run_with_random_crashes(seed: int) -> tuple[Simulation, set[str]]:
+def run_with_random_crashes(
+    seed: int, lasting: StepSpec | None = None
+) -> tuple[Simulation, set[str]]:
     """Run healthy jobs while a worker crashes by itself every two seconds.
 
-    Returns the simulation after all jobs have ended, and their names.
+    A long-running step runs beside them, if given. Returns the simulation
+    after all other jobs have ended, or a minute, and their names.
     """
     simulation = Simulation(seed, workers=6)
     simulation.hosts_refuse = True
@@ -121,6 +124,12 @@
     for delay_ms in range(1_000, 30_000, 2_000):
         host = rng.choice(sorted(simulation.workers))
         simulation.at(delay_ms, functools.partial(crash, host))
+    if lasting is not None:
+        for worker in simulation.workers.values():
+            worker.run_time_ms = lambda task: (
+                200_000 if task.startswith("lasting") else 700
+            )
+        simulation.submit("lasting", lasting)
     _, jobs = submit_jobs(simulation, seed, crashing_count=0)
     run_until_ended(simulation)
     return simulation, jobs
--- a/testing/workflows/test_crash_evidence.py
+++ b/testing/workflows/test_crash_evidence.py
@@ -12,6 +12,7 @@
 from sardinespool.messages.workflows import RunOutcome
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.workflows.crash_evidence import CLEARING_AGE_MS
 from sardinespool.workflows.records import TaskRecord
 from sardinespool.workflows.snapshot import restore_workflow
 from sardinespool.workflows.snapshot import snapshot_of
@@ -337,6 +338,21 @@
     assert set(jobs.table.suspects) == {"j.0.0.1"}
 
 
+def test_long_life_clears_the_crashes_before() -> None:
+    """Guards against a long-running task given up for crashes of a whole day.
+
+    Old ends that are recorded again don't count either.
+    """
+    jobs = Jobs(j=LONG_RUNNING)
+    jobs.apply("j", Run(1), Run(2, trial=True))
+    jobs.apply("j", Run(3, members=()))
+    jobs.record(RunEnd("j.0.0.0", 3, "lost", lived_ms=CLEARING_AGE_MS))
+    jobs.apply("j", Run(4, suspect=False), Restore(), Repeat())
+    assert jobs.task("j").crashed_runs == {4}
+    assert jobs.task("j").suspected_crash == ""
+    assert not jobs.table.suspects
+
+
 class EarlierRunEnd(msgspec.Struct, frozen=True, array_like=True):
     """End of a run as earlier builds store it."""
 
@@ -391,3 +407,4 @@
         "",
         0,
     )
+    assert (task.crash_age_ms, task.cleared_run) == (0, 0)
