Bound the time of weighing a crash

Cause: a crash of a whole failure domain weighs each long-running run of its workers against up to 1,000 crashes with all their tasks. Change: 200 crashes are kept; their rate is that of the time they span.

--- a/src/sardinespool/dispatch/crash_history.py
+++ b/src/sardinespool/dispatch/crash_history.py
@@ -17,8 +17,10 @@
 WINDOW_MS = 60_000
 """Age from which crashes are forgotten. A long-running run that has lived for
 as long isn't weighed; it shows that its task is healthy."""
-CRASHES_KEPT_MAX = 1_000
-"""Limit of remembered crashes; the oldest go first."""
+CRASHES_KEPT_MAX = 200
+"""Limit of remembered crashes; the oldest go first. It bounds the time that
+the crash of a whole failure domain takes. Their rate refers to the time that
+the remembered ones span."""
 CRASHES_ON_HOST_MAX = 2
 """Crashes of one host alone that count. After them the task is a suspect and
 starts on another host, if there is one."""
