Read the rack of a worker and the remote factor

Cause: the product knew the labels of a worker, but not which of them names its rack, and nothing read how much longer a task takes away from its data. Change: the adapter names the second label as the rack, in a field that earlier records lack; the settings carry remote_factor, 1 by default, and refuse what is no number from 1 to 100.

--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -39,6 +39,9 @@
         its capacity may have shrunk since.
     finished_job_retention_ms : int
         Retention time of the state of an ended job.
+    remote_factor : float
+        Run time of a task away from its data, as a multiple of that near it;
+        1 if there is no difference, so that no task waits for a near worker.
     """
 
     lease_ms: int = 4_000
@@ -52,3 +55,4 @@
     late_order_ms: int = 12_000
     heartbeat_age_max_ms: int = 3_500
     finished_job_retention_ms: int = 120_000
+    remote_factor: float = 1.0
--- a/src/sardinespool/messages/worker_reports.py
+++ b/src/sardinespool/messages/worker_reports.py
@@ -19,6 +19,9 @@
         Machine that the worker runs on, or "" if not reported.
     draining : bool
         The worker accepts no more starts and will leave.
+    rack : str
+        The one of the labels that names the rack of the worker, or "" if none
+        does. Earlier builds stored none.
     """
 
     worker_id: str
@@ -32,6 +35,7 @@
     memory_mb: int
     accelerators: int
     draining: bool = False
+    rack: str = ""
 
 
 def capacity_of(description: WorkerDescription) -> tuple[int, int, int]:
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -21,6 +21,8 @@
 """Time from SIGTERM to SIGKILL if the settings have no ``grace_s``."""
 DEFAULT_CONTACT_MS = 3_000
 """Contact time if the settings have no ``contact_ms``."""
+REMOTE_FACTOR_MAX = 100
+"""The platform states 1.5 to 3; more than this is taken for a mistake."""
 CLOCK_JUMP_MARGIN_MS = 30_000
 """Added to the retention of ended jobs, as the wall clock may jump ahead."""
 STATUS_PORT = 9464
@@ -95,6 +97,7 @@
             heartbeat_age_max_ms=contact_ms
             + self.heartbeat_interval_ms
             - REPORT_DELAY_MS,
+            remote_factor=self.bounds.get("remote_factor", 1.0),
             finished_job_retention_ms=job_retention_s * 1_000
             + CLOCK_JUMP_MARGIN_MS,
         )
@@ -138,11 +141,20 @@
     """
     try:
         document: typing.Any = yaml.load(path.read_bytes(), _YAML_LOADER)
-        return msgspec.convert(document, PlatformSettings)
+        settings = msgspec.convert(document, PlatformSettings)
     except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
         raise SettingsError(
             f"Platform settings can't be loaded: {error}", file=str(path)
         ) from error
+    factor = settings.bounds.get("remote_factor", 1.0)
+    if isinstance(factor, bool) or not 1.0 <= factor <= REMOTE_FACTOR_MAX:
+        raise SettingsError(
+            "remote_factor must be a number from 1, which lets no task wait"
+            f" for its rack, to {REMOTE_FACTOR_MAX}.",
+            file=str(path),
+            remote_factor=factor,
+        )
+    return settings
 
 
 _YAML_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
--- a/src/sardinespool/platform/worker_codec.py
+++ b/src/sardinespool/platform/worker_codec.py
@@ -91,6 +91,9 @@
 ENDS_LISTED_MAX = 500
 """Ends in one lease renewal response; the protocol sets this limit."""
 
+RACK_LABEL = 1
+"""Position of the rack in a worker's labels; the first one is its kind."""
+
 _OUTCOME_BY_END_REASON: dict[str, RunOutcome] = {
     "done": "done",
     "failed": "failed",
@@ -140,6 +143,7 @@
             memory_mb=heartbeat.capacity.requested_memory_mb,
             accelerators=heartbeat.capacity.gpus,
             draining=heartbeat.state == "draining",
+            rack="".join(heartbeat.labels[RACK_LABEL : RACK_LABEL + 1]),
         ),
         sequence=heartbeat.sequence,
         clock_ms=heartbeat.clock_ms,
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -49,6 +49,35 @@
     assert dispatch.finished_job_retention_ms == 90_000
 
 
+@pytest.mark.parametrize(
+    ("value", "factor"),
+    [
+        ("", 1.0),
+        ("2.5", 2.5),
+        ("3", 3.0),
+        ("0.5", None),
+        ("-2", None),
+        ("101", None),
+        (".nan", None),
+        (".inf", None),
+        ("true", None),
+    ],
+)
+def test_remote_factor_is_read_and_checked(
+    tmp_path: pathlib.Path, value: str, factor: float | None
+) -> None:
+    """Guards against waits without a gain and for a wrong factor."""
+    path = tmp_path / "local.yaml"
+    line = f"  remote_factor: {value}\n" if value else ""
+    path.write_text(SETTINGS_YAML.replace("bounds:\n", f"bounds:\n{line}"))
+    if factor is None:
+        with pytest.raises(SettingsError, match="remote_factor"):
+            load_platform_settings(path)
+    else:
+        dispatch = load_platform_settings(path).dispatch
+        assert dispatch.remote_factor == factor
+
+
 @pytest.mark.parametrize(
     ("heartbeat_ms", "contact_ms", "age_max_ms"),
     [
--- a/testing/platform/test_wire.py
+++ b/testing/platform/test_wire.py
@@ -53,7 +53,7 @@
     )
     assert (worker.processors_millicores, worker.memory_mb) == (16_000, 32_768)
     assert worker.accelerators == 2
-    assert worker.labels == ("a", "r1-3")
+    assert (worker.labels, worker.rack) == (("a", "r1-3"), "r1-3")
     assert not worker.draining
     assert (report.sequence, report.clock_ms) == (4, 482_113)
 
