Wait for a worker near the data while it can gain time

Cause: a task whose rack was full started on a remote worker at once, where it takes 1.5 to 3 times as long, though a near one was free a moment later; a gang with same_rack was placed by room alone. Run times of remote tasks are learned as near ones. Without remote_factor nothing changes.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.order_queue import OrderQueue
 from sardinespool.dispatch.orders import Order
 from sardinespool.dispatch.orders import OrderResult
@@ -68,7 +69,6 @@
     ) -> None:
         self._machine = machine
         self._metrics = metrics
-        self._settings = settings
         self._wake = wake
         self.fleet = Fleet(
             machine, settings, self.end_run, CrashRecorder(metrics)
@@ -86,8 +86,9 @@
             self.estimates.run_times,
             self,
         )
+        near = NearWaits(machine, self.estimates, settings, metrics)
         self._planner = Planner(
-            machine, self.fleet, settings, model, self.health
+            machine, self.fleet, settings, model, self.health, near
         )
         self.orders = OrderQueue(self.fleet, settings)
         self._proposed: RecordRuns | None = None
--- a/src/sardinespool/dispatch/estimates_schedule.py
+++ b/src/sardinespool/dispatch/estimates_schedule.py
@@ -27,6 +27,8 @@
     ----------
     run_times : RunTimes
         Learned run times.
+    begun_boot_ms : int
+        Start of the leadership on the boot clock.
     """
 
     def __init__(self, machine: ControlMachine, model: TailModel) -> None:
@@ -34,9 +36,11 @@
         self._model = model
         self._due_boot_ms = 0
         self.run_times = RunTimes()
+        self.begun_boot_ms = 0
 
     def begin(self, now: Instant) -> None:
         """Take over the committed estimates."""
+        self.begun_boot_ms = now.boot_ms
         stored = self._machine.estimates
         self._model.restore(stored, now.boot_ms)
         self.run_times.restore(() if stored is None else stored.run_times)
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -42,6 +42,14 @@
         self.congested_queues = metrics.gauge(
             "congested_queues", "Queues whose jobs start newest first."
         )
+        self.near_starts = metrics.counter(
+            "near_starts_total",
+            "Starts of tasks that want a rack, by place (near or remote) and"
+            " the reason of a remote start.",
+        )
+        self.near_waiting_steps = metrics.gauge(
+            "near_waiting_steps", "Steps that wait for a worker near data."
+        )
         self.silent_runs = metrics.gauge(
             "silent_runs", "Runs on workers that do not answer."
         )
--- a/src/sardinespool/dispatch/placer.py
+++ b/src/sardinespool/dispatch/placer.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from sardinespool.dispatch.best_effort import BestEffortScorer
+from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.workflows.records import StepRecord
@@ -50,6 +51,8 @@
     set_aside : iterable of WorkerState
         Workers of the pool that were set aside, for steps without another
         worker.
+    near : NearWaits or None
+        Decides which tasks wait for the rack of their data; None if none do.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         workers: Iterable[WorkerState],
         best_effort: BestEffortScorer,
         set_aside: Iterable[WorkerState] = (),
+        near: NearWaits | None = None,
     ) -> None:
+        self._near = near
         self._workers = list(workers)
         self._set_aside = list(set_aside)
         self._best_effort = best_effort
@@ -96,7 +101,16 @@
             )
             if score is not None:
                 heap.append((-score, position, worker))
+        if self._near is not None and spec.gang:
+            kept = set(
+                map(
+                    id,
+                    self._near.gang_workers(step, [item[2] for item in heap]),
+                )
+            )
+            heap = [item for item in heap if id(item[2]) in kept]
         heapq.heapify(heap)
+        tasks_left = len(step.waiting)
         while heap:
             if (
                 spec.long_running
@@ -113,6 +127,11 @@
                 if score is None:
                     continue
                 self._best_effort.record_start(spec, worker)
+            if self._near is not None and self._near.awaits_near(
+                step, worker, tasks_left, failed_workers
+            ):
+                return
+            tasks_left -= 1
             yield worker
             score = self.score_worker(
                 step, worker, starved, failed_workers, overdue
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -7,6 +7,7 @@
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.health import RunStopper
 from sardinespool.dispatch.health import WorkerHealth
+from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.placement_order import PlacementOrder
 from sardinespool.dispatch.placer import Placer
 from sardinespool.dispatch.rebalancer import Rebalancer
@@ -50,6 +51,8 @@
         Interference of best-effort images with serving images.
     health : WorkerHealth
         Tracks the workers on which tasks failed.
+    near : NearWaits
+        Tasks that wait for a worker near their data.
 
     Attributes
     ----------
@@ -66,8 +69,10 @@
         settings: DispatchSettings,
         model: TailModel,
         health: WorkerHealth,
+        near: NearWaits,
     ) -> None:
         self._health = health
+        self._near = near
         self._model = model
         self._best_effort = BestEffortScorer(model)
         self._trials = TrialPlanner(machine, fleet, self._best_effort)
@@ -86,6 +91,7 @@
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self._trials.reset()
+        self._near.reset()
         self.order.reset()
 
     def request_pass(self) -> None:
@@ -123,6 +129,7 @@
         self._best_effort.begin_pass(
             best_effort_demand(ready.values()), now.boot_ms
         )
+        self._near.begin_pass(ready, candidates, now)
         planned = self._trials.place(candidates, set_aside, now)
         placers = {
             pool: Placer(
@@ -133,6 +140,7 @@
                 self._trials.workers_for_other_tasks(
                     pool, set_aside.get(pool, ())
                 ),
+                self._near,
             )
             for pool in candidates.keys() | set_aside.keys()
         }
@@ -302,4 +310,6 @@
             for worker, run in planned:
                 worker.remove_run(run)
             return []
+        if step.spec.gang and planned:
+            self._near.gang_started(planned)
         return planned
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -58,6 +58,11 @@
     first_seen_clock_ms : int or None
         Reading of the worker's clock when it first confirmed or listed the
         run to this leader; None before.
+    expected_ends_boot_ms : tuple of float
+        Quantiles of the expected end, see `near_waits`; empty before the
+        first forecast.
+    slowdown : float
+        Expected factor by which the run takes longer than one near its data.
     crash : str
         Worker incarnation that crashed under the run, or "".
     suspect : bool
@@ -70,6 +75,7 @@
         "in_flight",
         "confirmed_boot_ms",
         "crash",
+        "expected_ends_boot_ms",
         "listed",
         "load",
         "ordered_boot_ms",
@@ -82,6 +88,7 @@
         "retry_boot_ms",
         "run",
         "sent",
+        "slowdown",
         "throttled_since_boot_ms",
         "stop_confirmed",
         "stop_reason",
@@ -124,6 +131,8 @@
         self.progress_clock_ms: int | None = None
         self.trial = False
         self.first_seen_clock_ms: int | None = None
+        self.expected_ends_boot_ms: tuple[float, ...] = ()
+        self.slowdown = 1.0
         self.crash = ""
         self.suspect = False
         self.tail = TailHistory()
--- a/src/sardinespool/dispatch/run_times.py
+++ b/src/sardinespool/dispatch/run_times.py
@@ -161,6 +161,8 @@
         run_ms = run.measure_ms(end_clock_ms)
         if run_ms is not None and run.step is not None:
             workflow = run.step.workflow
+            # Only what a near run would have taken compares between runs.
+            run_ms = max(1, round(run_ms / run.slowdown))
             self.observe(
                 workflow.job_id, workflow.queue.name, run.step.spec, run_ms
             )
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -95,6 +95,7 @@
     ) -> None:
         self.description = description
         self._usage = WorkspaceUsage() if usage is None else usage
+        self._remote_factor = settings.remote_factor
         self._processors_max_millicores = description.processors_millicores
         self._recorded = description
         self._reported: WorkerDescription | None = None
@@ -186,6 +187,9 @@
         if run.trial:
             self.trials[run.key] = run
         if run.step is not None:
+            rack = run.step.spec.data_rack
+            if rack and rack not in self.description.labels:
+                run.slowdown = self._remote_factor
             self._adjust_reservation(run.step.spec, -1)
             self._usage.add(run.step.workflow.workspace, run.step.spec)
 
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -95,6 +95,7 @@
         self._random = random.Random(seed)
         self._rate = self._random.choice([0.98, 0.99, 1.0])
         self.incarnation = 0
+        self.labels: tuple[str, ...] = ()
         self.set_capacity()
         self.start_incarnation(0)
 
@@ -150,11 +151,12 @@
             pool="pool",
             failure_domain="centro",
             host=self._host,
-            labels=(),
+            labels=self.labels,
             processors_millicores=self.processors_millicores,
             memory_mb=self.memory_mb,
             accelerators=self.accelerators,
             draining=draining,
+            rack="".join(self.labels[1:2]),
         )
 
     def clock(self, now_ms: int) -> int:
