--- a/src/sardinespool/dispatch/near_place.py
+++ b/src/sardinespool/dispatch/near_place.py
@@ -10,9 +10,11 @@
 every expected wait is wrong. What is expected only ends a wait earlier.
 """
 
+import bisect
 import dataclasses
 import enum
 import math
+import operator
 from collections.abc import Sequence
 
 WAIT_MAX_MS = 2_000
@@ -98,7 +100,7 @@
     ----------
     freed : sequence of (float, float)
         Times from now in milliseconds, in ascending order, each with the
-        processors that are expected to become free then. A run with an
+        processors that are expected to become free up to then. A run with an
         uncertain end has several times, each with a part of its processors.
     demand : float
         Processors of the task and of all that wait before it.
@@ -106,13 +108,11 @@
         Run time after which the tasks that start in the meantime free the
         same processors again.
     """
-    total = sum(amount for _, amount in freed)
-    if total <= 0.0:
+    if not freed:
         return math.inf
+    total = freed[-1][1]
     rounds = max(0, math.ceil(demand / total) - 1)
-    left = demand - rounds * total
-    for time_ms, amount in freed:
-        left -= amount
-        if left <= 1e-6 * total:
-            return rounds * run_ms + time_ms
-    return rounds * run_ms + freed[-1][0]
+    # Sums of parts are inexact.
+    left = demand - rounds * total - 1e-6 * total
+    position = bisect.bisect_left(freed, left, key=operator.itemgetter(1))
+    return rounds * run_ms + freed[position][0]
--- a/src/sardinespool/dispatch/near_supply.py
+++ b/src/sardinespool/dispatch/near_supply.py
@@ -1,5 +1,6 @@
 """Expected room on the workers of racks, during one planning pass."""
 
+import itertools
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -120,15 +121,18 @@
         return share
 
     def _freed_of(self, rack: RackKey) -> Sequence[tuple[float, float]]:
-        """Return what the runs of a rack free, with the times from now."""
+        """Return what the runs of a rack free up to the times from now."""
         freed = self._freed.get(rack)
         if freed is None:
-            freed = self._freed[rack] = sorted(
+            parts = sorted(
                 (end_ms - self._now_boot_ms, part)
                 for worker in self._workers.get(rack, ())
                 for run in worker.runs.values()
                 for end_ms, part in self._parts_of(run)
             )
+            sums = itertools.accumulate(part for _, part in parts)
+            times = (time_ms for time_ms, _ in parts)
+            freed = self._freed[rack] = list(zip(times, sums, strict=True))
         return freed
 
     def _parts_of(self, run: RunState) -> list[tuple[float, float]]:
