--- a/src/sardinespool/dispatch/job_paths.py
+++ b/src/sardinespool/dispatch/job_paths.py
@@ -26,8 +26,12 @@
     if run_ms is None or run.step is None:
         return
     workflow = run.step.workflow
+    # Only what a near run would have taken compares between runs.
     run_times.observe(
-        workflow.job_id, workflow.queue.name, run.step.spec, run_ms
+        workflow.job_id,
+        workflow.queue.name,
+        run.step.spec,
+        max(1, round(run_ms / run.slowdown)),
     )
     predict_paths(run_times, workflow)
 
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -10,6 +10,7 @@
 from sardinespool.dispatch.health import RunStopper
 from sardinespool.dispatch.health import WorkerHealth
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.placement_order import PlacementOrder
 from sardinespool.dispatch.placer import Placer
 from sardinespool.dispatch.rebalancer import Rebalancer
@@ -55,6 +56,8 @@
         Interference of best-effort images with serving images.
     health : WorkerHealth
         Tracks the workers on which tasks failed.
+    near : NearWaits
+        Tasks that wait for a worker near their data.
 
     Attributes
     ----------
@@ -73,8 +76,10 @@
         settings: DispatchSettings,
         model: TailModel,
         health: WorkerHealth,
+        near: NearWaits,
     ) -> None:
         self._health = health
+        self._near = near
         self._model = model
         self._best_effort = BestEffortScorer(model)
         self._trials = TrialPlanner(machine, fleet, self._best_effort)
@@ -96,6 +101,7 @@
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self._trials.reset()
+        self._near.reset()
         self.order.reset()
         self.workspace_log.reset()
 
@@ -139,10 +145,14 @@
         self._best_effort.begin_pass(
             best_effort_demand(ready.values()), now.boot_ms
         )
+        self._near.begin_pass(ready, candidates, now)
         planned = self._trials.place(candidates, set_aside, now)
         placers = {
             pool: self._trials.placer_of_other_tasks(
-                pool, candidates.get(pool, ()), set_aside.get(pool, ())
+                pool,
+                candidates.get(pool, ()),
+                set_aside.get(pool, ()),
+                self._near,
             )
             for pool in candidates.keys() | set_aside.keys()
         }
@@ -326,4 +336,6 @@
             for worker, run in planned:
                 worker.remove_run(run)
             return []
+        if step.spec.gang and planned:
+            self._near.gang_started(planned)
         return planned
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -9,6 +9,7 @@
 from sardinespool.dispatch.best_effort import BestEffortScorer
 from sardinespool.dispatch.best_effort import STARVED_PACE
 from sardinespool.dispatch.fleet import Fleet
+from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.placer import Placer
 from sardinespool.dispatch.run_state import RunPhase
 from sardinespool.dispatch.run_state import RunState
@@ -120,6 +121,7 @@
         pool: str,
         candidates: Sequence[WorkerState],
         set_aside: Sequence[WorkerState],
+        near: NearWaits | None = None,
     ) -> Placer:
         """Return the placer of a pool for tasks that are no suspects.
 
@@ -130,6 +132,7 @@
             self.workers_for_other_tasks(pool, free),
             self._best_effort,
             self.workers_for_other_tasks(pool, [*set_aside, *held]),
+            near,
         )
 
     def has_other_waiting(self, step: StepRecord) -> bool:
