Refuse jobs that would end too late, where the settings ask for it

It is off unless the settings have admission: true and contracts with sched. An attempt without an answer before a refusal leaves the outcome open (group_client.py); a job whose proposal may be committed is never refused.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from sardinespool.clock import Instant
+from sardinespool.dispatch.admission import Admission
+from sardinespool.dispatch.class_load import LoadMeter
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.order_tickets import OrderTickets
 from sardinespool.dispatch.report_check import check_report
@@ -77,10 +79,17 @@
         self._dispatcher = dispatcher
         self._status = status
         self._order_tickets = OrderTickets()
+        self._admission = Admission(
+            LoadMeter(machine, dispatcher.fleet),
+            dispatcher.estimates.run_times,
+            dispatcher.refused_jobs,
+            dispatcher.settings.admission,
+        )
 
     def become_leader(self, now: Instant) -> None:
         """Start the dispatcher with the current term as fencing token."""
         self._dispatcher.begin(self._status().term, now)
+        self._admission.begin(now)
 
     def step_down(self) -> None:
         """Stop the dispatcher."""
@@ -98,7 +107,7 @@
         """
         match request:
             case SubmitWorkflow():
-                return self._submit(request)
+                return self._submit(request, now)
             case ReadWorkflow(host=host, path=path):
                 return ImmediateReply(status_of(self._workflow(host, path)))
             case CancelWorkflow(host=host, path=path):
@@ -197,7 +206,9 @@
             case PublishManifest(version=version), Accepted():
                 _LOG.info("manifest in force", version=version)
 
-    def _submit(self, request: SubmitWorkflow) -> ImmediateReply | Proposal:
+    def _submit(
+        self, request: SubmitWorkflow, now: Instant
+    ) -> ImmediateReply | Proposal:
         queue, job_id = self._machine.manifest.resolve(
             request.host, request.path
         )
@@ -206,6 +217,7 @@
         if stored is not None:
             return ImmediateReply(status_of(stored))
         check_spec(request.spec)
+        self._admission.check(job_id, queue, request.spec, now)
         return Proposal(
             AcceptWorkflow(job_id=job_id, queue=queue.name, spec=request.spec)
         )
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -68,7 +68,8 @@
     ) -> None:
         self._machine = machine
         self._metrics = metrics
-        self._settings = settings
+        self.refused_jobs = metrics.refused_jobs
+        self.settings = settings
         self._wake = wake
         self.fleet = Fleet(
             machine, settings, self.end_run, CrashRecorder(metrics)
--- a/src/sardinespool/dispatch/fleet.py
+++ b/src/sardinespool/dispatch/fleet.py
@@ -305,7 +305,7 @@
             worker.answered
             and worker.reconciled
             and worker.clock.known
-            and not self._vacated_because(worker)
+            and not self.vacated_because(worker)
             and description.pool not in self._machine.manifest.spare_pools
             and now.boot_ms >= worker.avoid_until_boot_ms
             and self.has_recent_report(worker, now)
@@ -335,7 +335,7 @@
         Its reservations must fit into a known capacity.
         """
         return (
-            not self._vacated_because(worker)
+            not self.vacated_because(worker)
             and not worker.is_overcommitted
             and self.has_recent_report(worker, now)
         )
@@ -354,9 +354,9 @@
             or silent_ms >= self._settings.heartbeat_age_max_ms
         ):
             return "capacity shrank or unknown"
-        return self._vacated_because(worker)
+        return self.vacated_because(worker)
 
-    def _vacated_because(self, worker: WorkerState) -> str:
+    def vacated_because(self, worker: WorkerState) -> str:
         """Return why a worker must get no starts, planned or not, or ""."""
         description = worker.description
         if description.draining:
--- a/src/sardinespool/dispatch/metrics.py
+++ b/src/sardinespool/dispatch/metrics.py
@@ -17,6 +17,10 @@
         self.jobs = metrics.counter(
             "jobs_ended_total", "Jobs that ended, by queue and state."
         )
+        self.refused_jobs = metrics.counter(
+            "jobs_refused_total",
+            "Submitted jobs that were refused, by queue and reason.",
+        )
         self.runs = metrics.counter(
             "runs_ended_total", "Runs that ended, by outcome."
         )
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -39,6 +39,8 @@
         its capacity may have shrunk since.
     finished_job_retention_ms : int
         Retention time of the state of an ended job.
+    admission : bool
+        Whether jobs that would end too late are refused, see `admission`.
     """
 
     lease_ms: int = 4_000
@@ -52,3 +54,4 @@
     late_order_ms: int = 12_000
     heartbeat_age_max_ms: int = 3_500
     finished_job_retention_ms: int = 120_000
+    admission: bool = False
--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -59,3 +59,15 @@
     """The job that the path names is not stored."""
 
     http_status = 410
+
+
+class OverloadedError(TaskError):
+    """The job would end too late to be of use; it was not accepted."""
+
+    http_status = 503
+
+
+class UnplaceableJobError(TaskError):
+    """No worker that is known now can hold a task of the job."""
+
+    http_status = 503
--- a/src/sardinespool/platform/responses.py
+++ b/src/sardinespool/platform/responses.py
@@ -23,7 +23,8 @@
     """Return the response that reports an error.
 
     Status 503 means that nothing was run or stored, and comes with a
-    ``Retry-After`` header. Status 504 means that the outcome is unknown.
+    ``Retry-After`` header, whose time may be in the error's details. Status
+    504 means that the outcome is unknown.
     """
     status = error.http_status
     if isinstance(error, ProposalLostError) or (
@@ -32,6 +33,7 @@
         status = 504
     headers: Headers = (_JSON_CONTENT_TYPE,)
     if status in (429, 503):
-        headers += (("Retry-After", str(RETRY_AFTER_S)),)
+        retry_s = error.details.get("retry_after_s", RETRY_AFTER_S)
+        headers += (("Retry-After", str(retry_s)),)
     body = {"error": error.code, "text": error.text}
     return HttpResponse(status, headers, _ENCODER.encode(body))
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -51,6 +51,11 @@
         Interval of the workers' heartbeats.
     bounds : dict
         Limits that the platform enforces, by the platform's names.
+    contracts : Any
+        Names of the promises that the platform checks, if it lists any.
+    admission : bool
+        Whether jobs that would end too late are refused. It takes effect only
+        where `contracts` holds "sched".
     """
 
     node: str
@@ -68,6 +73,8 @@
         name="heartbeat_ms", default=1_500
     )
     bounds: dict[str, float | bool] = {}
+    contracts: typing.Any = ()
+    admission: bool = False
 
     @property
     def internal_address(self) -> str:
@@ -97,6 +104,9 @@
             - REPORT_DELAY_MS,
             finished_job_retention_ms=job_retention_s * 1_000
             + CLOCK_JUMP_MARGIN_MS,
+            admission=self.admission
+            and isinstance(self.contracts, list)
+            and "sched" in self.contracts,
         )
 
     @property
--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -12,8 +12,6 @@
 from sardinespool.errors.storage import CorruptLogError
 from sardinespool.errors.storage import StorageError
 from sardinespool.errors.transport import NotReadyError
-from sardinespool.errors.transport import OutdatedOrderError
-from sardinespool.errors.transport import ServiceFaultError
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
@@ -41,6 +39,7 @@
 from sardinespool.transport.connector import Connector
 from sardinespool.transport.frame_server import FrameServer
 from sardinespool.transport.group_client import GroupClient
+from sardinespool.transport.group_client import NOT_DONE_ERRORS
 
 SENDER_CLEANUP_INTERVAL_MS = 1_000
 TRANSFER_TIMEOUT_MS = 1_000
@@ -147,11 +146,7 @@
         deadline_unix_ms = system_clock.now().unix_ms + timeout_ms
         try:
             return await self._client.call(request, deadline_unix_ms)
-        except (
-            GroupUnavailableError,
-            OutdatedOrderError,
-            ServiceFaultError,
-        ) as error:
+        except (GroupUnavailableError, *NOT_DONE_ERRORS) as error:
             # Only the last attempt is known to have had no effect.
             if not sent:
                 raise
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -10,6 +10,8 @@
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.replication import ReplicationError
+from sardinespool.errors.tasks import OverloadedError
+from sardinespool.errors.tasks import UnplaceableJobError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import InvalidMessageError
@@ -38,6 +40,15 @@
 `NotReadyError` comes from a member that is shutting down.
 """
 
+NOT_DONE_ERRORS = (
+    ServiceFaultError,
+    OutdatedOrderError,
+    OverloadedError,
+    UnplaceableJobError,
+)
+"""Errors that tell that this attempt had no effect. An earlier one without a
+reply may have had one."""
+
 
 class GroupClient:
     """Finds the leader of a group and retries until the deadline.
@@ -159,7 +170,7 @@
                 self._select_next_member(
                     name, str(error.details.get("leader", ""))
                 )
-            except (ServiceFaultError, OutdatedOrderError) as error:
+            except NOT_DONE_ERRORS as error:
                 if not sent:
                     raise
                 # Only this attempt is known to have had no effect.
--- a/testing/dispatch/mixed_load.py
+++ b/testing/dispatch/mixed_load.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from sardinespool.dispatch.settings import DispatchSettings
+from sardinespool.errors.tasks import OverloadedError
 from sardinespool.messages.manifest import PoolSpec
 from sardinespool.messages.manifest import PublishManifest
 from sardinespool.messages.manifest import QueueSpec
@@ -22,7 +24,10 @@
 from testing.dispatch.simulation import Simulation
 
 WORKERS = 22
+WORKERS_LEFT = 13
+"""Workers outside the largest failure domain."""
 WORKER_MILLICORES = 32_000
+ORACLE_STEP_MS = 50
 SHORT_JOBS_A_SECOND = 8.5 / 8
 BATCH_JOBS_A_SECOND = 5.85 / 8
 BATCH_WORTH = 7
@@ -31,7 +36,9 @@
 BURST_MS = 6_000
 LAST_RUN_MS = 60_000
 """Time after the last arrival until the jobs are counted."""
+CALLER_TRIES = 5
 EXPIRY_OBJECTIVES = 3
+EXTRA_CALL_MS = 20
 LATE_WORTH = 1 / 7
 """Worth of a job between one and three objectives."""
 
@@ -222,6 +229,8 @@
         The day.
     seed : int
         Seed of the jobs and workers.
+    admission : bool
+        Whether jobs that would end too late are refused.
     left_out : collection of str
         Jobs that their callers don't submit.
     """
@@ -230,6 +239,7 @@
         self,
         load: MixedLoad,
         seed: int,
+        admission: bool = False,
         left_out: Collection[str] = (),
     ) -> None:
         self._load = load
@@ -238,7 +248,11 @@
         self._tries: dict[str, int] = {}
         self._accepted: set[str] = set()
         self._ended_ms: dict[str, int] = {}
-        self.simulation = simulation = Simulation(seed, workers=WORKERS)
+        self.simulation = simulation = Simulation(
+            seed,
+            workers=WORKERS,
+            settings=DispatchSettings(admission=admission),
+        )
         simulation.request(
             PublishManifest(
                 version=2,
@@ -298,14 +312,23 @@
 
     def _submit(self, job: DrawnJob) -> None:
         simulation = self.simulation
-        self._tries[job.name] = 1
+        tries = self._tries[job.name] = self._tries.get(job.name, 0) + 1
         simulation.oracle.specs[job.name] = job.spec
-        simulation.request(
-            SubmitWorkflow(
-                host=HOST, path=job.queue.prefix + job.name, spec=job.spec
+        try:
+            simulation.request(
+                SubmitWorkflow(
+                    host=HOST,
+                    path=job.queue.prefix + job.name,
+                    spec=job.spec,
+                )
             )
-        )
-        self._accepted.add(job.name)
+        except OverloadedError as error:
+            retry_ms = 1_000 * error.details["retry_after_s"]
+        else:
+            self._accepted.add(job.name)
+            return
+        if tries < CALLER_TRIES:
+            simulation.at(retry_ms + EXTRA_CALL_MS, lambda: self._submit(job))
 
     def _count(self) -> MixedOutcome:
         jobs = self._jobs.values()
@@ -341,3 +364,51 @@
             tries=sum(self._tries.values()),
             earned=earned,
         )
+
+
+def oracle_worth(load: MixedLoad, seed: int) -> float:
+    """Return the worth that an oracle with all run times gets.
+
+    It knows all jobs and serves those that it chooses by their due times, as
+    if work could be divided at will. Whenever one would be late, it gives up
+    the one with the most work so far (Moore and Hodgson).
+    """
+    jobs = draw_jobs(load, seed)
+    needs = {
+        job.name: sum(map(sum, job.runs_ms))
+        * job.spec.steps[0].processors_millicores
+        for job in jobs
+    }
+    chosen = list(jobs)
+    while (late := _first_late(load, chosen, needs)) is not None:
+        before = [job for job in chosen if job.arrival_ms <= late]
+        chosen.remove(max(before, key=lambda job: needs[job.name] / job.worth))
+    return sum(job.worth for job in chosen) / sum(job.worth for job in jobs)
+
+
+def _first_late(
+    load: MixedLoad, jobs: list[DrawnJob], needs: dict[str, int]
+) -> float | None:
+    """Return when the first job misses its objective, None if none does."""
+    left = {job.name: float(needs[job.name]) for job in jobs}
+    arrivals = sorted(jobs, key=lambda job: -job.arrival_ms)
+    open_jobs: list[DrawnJob] = []
+    now_ms = 0
+    while arrivals or open_jobs:
+        while arrivals and arrivals[-1].arrival_ms <= now_ms:
+            open_jobs.append(arrivals.pop())
+        open_jobs.sort(key=lambda job: -job.arrival_ms - job.objective_ms)
+        is_away = load.evacuated_ms[0] <= now_ms < load.evacuated_ms[1]
+        workers = WORKERS_LEFT if is_away else WORKERS
+        budget = float(workers * WORKER_MILLICORES * ORACLE_STEP_MS)
+        while open_jobs and budget > 0:
+            job = open_jobs[-1]
+            if now_ms > job.arrival_ms + job.objective_ms:
+                return now_ms
+            done = min(budget, left[job.name])
+            budget -= done
+            left[job.name] -= done
+            if left[job.name] <= 0:
+                open_jobs.pop()
+        now_ms += ORACLE_STEP_MS
+    return None
--- a/testing/dispatch/simulation.py
+++ b/testing/dispatch/simulation.py
@@ -104,14 +104,18 @@
     """
 
     def __init__(
-        self, seed: int, workers: int = 4, oracle: Oracle | None = None
+        self,
+        seed: int,
+        workers: int = 4,
+        oracle: Oracle | None = None,
+        settings: DispatchSettings | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.now_ms = 0
         self.oracle = oracle or Oracle()
         self.faults = Faults()
         self.machine = ControlMachine()
-        self.settings = DispatchSettings()
+        self.settings = settings or DispatchSettings()
         self.term = 0
         self.serving = False
         self.lapsed = False
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -49,6 +49,26 @@
     assert dispatch.finished_job_retention_ms == 90_000
 
 
+@pytest.mark.parametrize(
+    ("added", "admission"),
+    [
+        ("", False),
+        ("contracts: [sched]\n", False),
+        ("contracts: [sched]\nadmission: true\n", True),
+        ("contracts: [quota]\nadmission: true\n", False),
+        ("contracts: 1\nadmission: true\n", False),
+        ("admission: true\n", False),
+    ],
+)
+def test_admission_is_off_unless_asked_for(
+    tmp_path: pathlib.Path, added: str, admission: bool
+) -> None:
+    """Guards against refusals in deployments that have not asked for them."""
+    path = tmp_path / "local.yaml"
+    path.write_text(SETTINGS_YAML + added)
+    assert load_platform_settings(path).dispatch.admission is admission
+
+
 @pytest.mark.parametrize(
     ("heartbeat_ms", "contact_ms", "age_max_ms"),
     [
