Count a call as sent only once the stream has taken it

Cause: PeerLink took a call off the unsent ones before it wrote the frame. A stream that is closed, for instance as its peer does not read, refuses the frame, and the caller was told that the outcome is unknown (504) though nothing left. Change: the call counts as sent after the write. A frame that is too large no longer leaves its call among the pending ones. Ruled out: frames in the buffer of a connection that is cut off; what the peer has read can't be known. Measured: test_call_on_a_closed_stream_has_not_run fails without the change; testing/transport, platform, controller, entry, store: 718 passed.

--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -113,16 +113,16 @@
         )
         self._pending_replies[call_id] = reply
         self._unsent_call_ids.add(call_id)
-        self.send(
-            Frame(
-                kind=FrameKind.CALL,
-                call_id=call_id,
-                group=group,
-                body=body,
-                deadline_unix_ms=deadline_unix_ms,
-            )
-        )
         try:
+            self.send(
+                Frame(
+                    kind=FrameKind.CALL,
+                    call_id=call_id,
+                    group=group,
+                    body=body,
+                    deadline_unix_ms=deadline_unix_ms,
+                )
+            )
             async with asyncio.timeout(timeout_ms / 1000):
                 return await reply
         except TimeoutError as error:
@@ -194,8 +194,10 @@
             reply = self._pending_replies.get(frame.call_id)
             if reply is None or reply.done():
                 return
-            self._unsent_call_ids.discard(frame.call_id)
         stream.write(frame)
+        # Only now, as a closed stream refuses the frame and sends nothing.
+        if frame.kind is FrameKind.CALL:
+            self._unsent_call_ids.discard(frame.call_id)
 
     async def _send_keepalives(self, stream: FrameStream) -> None:
         """Send keepalives; close the connection after `SILENCE_TIMEOUT_MS`."""
--- a/testing/transport/test_unsent_calls.py
+++ b/testing/transport/test_unsent_calls.py
@@ -123,6 +123,31 @@
     assert may_take_effect(error)
 
 
+def test_call_on_a_closed_stream_has_not_run() -> None:
+    """Guards against 504 for a call that the closed stream did not take.
+
+    A stream is closed when its peer does not read, and the link learns of it
+    only by the next write.
+    """
+
+    async def run() -> tuple[SardinespoolError, list[bytes]]:
+        peer = Peer()
+        link = GatedLink(await peer.start())
+        link.connect_outcome.set_result(True)
+        await call(link, b"first", 100)
+        assert link._stream is not None
+        link._stream.close()
+        error = await call(link, b"second", 100)
+        await link.close()
+        await peer.stop()
+        return error, peer.bodies
+
+    error, bodies = asyncio.run(run())
+    assert bodies == [b"first"]
+    assert isinstance(error, UnreachableError)
+    assert not may_take_effect(error)
+
+
 def test_replication_messages_wait_for_the_connection() -> None:
     """Guards against messages that are dropped with the calls."""
 
