--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -126,7 +126,7 @@
     print(f"ratio: {middle[True] / middle[False]:.2f}")
     for workflow, predicted in zip(workflows, learned, strict=True):
         workflow.predicted = predicted
-    service = ControlService(machine, dispatcher, lambda: None)  # type: ignore[arg-type, return-value]
+    service = ControlService(machine, dispatcher, lambda: None)
     service._admission.begin(now_after(0))
     checks_us: list[float] = []
     refused = 0
--- a/testing/dispatch/mixed_load.py
+++ b/testing/dispatch/mixed_load.py
@@ -107,16 +107,13 @@
         Share of the jobs that ended within their objective, by queue.
     worthless : set of str
         Accepted jobs that earned nothing.
-    refused : set of str
-        Jobs that were refused at each try.
+    earned : dict of str to float
+        Worth of each job.
     """
 
     worth: float
     in_time: dict[str, float]
     worthless: set[str]
-    refused: set[str]
-    accepted: int
-    tries: int
     earned: dict[str, float]
 
     def earned_by(self, is_odd: bool) -> float:
@@ -145,7 +142,6 @@
     stretch=2.0,
     latency_objective_ms=1_000,
 )
-LASTING = msgspec.structs.replace(SHORT, name="lasting", prefix="/lasting/")
 
 
 def draw_jobs(load: MixedLoad, seed: int) -> list[DrawnJob]:
@@ -256,7 +252,7 @@
         simulation.request(
             PublishManifest(
                 version=2,
-                queues=(SHORT, BATCH, LASTING),
+                queues=(SHORT, BATCH),
                 pools=(PoolSpec(name="pool"),),
                 source=b"{}",
             )
@@ -275,16 +271,9 @@
         lasting = StepSpec(
             count=2, processors_millicores=8_000, long_running=True
         )
-        simulation.oracle.specs["lasting"] = WorkflowSpec(
-            payload="", steps=(lasting,)
-        )
-        simulation.request(
-            SubmitWorkflow(
-                host=HOST,
-                path="/lasting/lasting",
-                spec=simulation.oracle.specs["lasting"],
-            )
-        )
+        spec = WorkflowSpec(payload="", steps=(lasting,))
+        self._submit(DrawnJob("lasting", SHORT, spec, 0, (), 0))
+        self._accepted.clear()
         begin_ms, end_ms = self._load.evacuated_ms
         if end_ms:
             for delay_ms, evacuated in ((begin_ms, True), (end_ms, False)):
@@ -359,9 +348,6 @@
                 for name, items in in_time.items()
             },
             worthless={name for name in self._accepted if not earned[name]},
-            refused=set(self._tries) - self._accepted,
-            accepted=len(self._accepted),
-            tries=sum(self._tries.values()),
             earned=earned,
         )
 
