--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -42,6 +42,8 @@
     remote_factor : float
         Run time of a task away from its data, as a multiple of that near it;
         1 if there is no difference, so that no task waits for a near worker.
+    admission : bool
+        Whether jobs that would end too late are refused, see `admission`.
     """
 
     lease_ms: int = 4_000
@@ -56,3 +58,4 @@
     heartbeat_age_max_ms: int = 3_500
     finished_job_retention_ms: int = 120_000
     remote_factor: float = 1.0
+    admission: bool = False
--- a/src/sardinespool/platform/responses.py
+++ b/src/sardinespool/platform/responses.py
@@ -23,9 +23,9 @@
     """Return the response that reports an error.
 
     Status 503 means that nothing was run or stored, and comes with a
-    ``Retry-After`` header. Status 504 means that the outcome is unknown.
-    Status 401 and 403 report a key of no workspace, and one of a workspace
-    other than that of the job.
+    ``Retry-After`` header, whose time may be in the error's details. Status
+    504 means that the outcome is unknown. Status 401 and 403 report a key of
+    no workspace, and one of a workspace other than that of the job.
     """
     status = error.http_status
     if isinstance(error, ProposalLostError) or (
@@ -36,6 +36,7 @@
     if status == 401:
         headers += (("WWW-Authenticate", "Bearer"),)
     if status in (429, 503):
-        headers += (("Retry-After", str(RETRY_AFTER_S)),)
+        retry_s = error.details.get("retry_after_s", RETRY_AFTER_S)
+        headers += (("Retry-After", str(retry_s)),)
     body = {"error": error.code, "text": error.text}
     return HttpResponse(status, headers, _ENCODER.encode(body))
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -144,6 +144,11 @@
         Limits that the platform enforces, by the platform's names.
     limits : Limits
         What the process may use of its machine.
+    contracts : Any
+        Names of the promises that the platform checks, if it lists any.
+    admission : bool
+        Whether jobs that would end too late are refused. It takes effect only
+        where `contracts` holds "sched".
     """
 
     node: str
@@ -162,6 +167,8 @@
     )
     bounds: dict[str, float | bool] = {}
     limits: Limits = Limits()
+    contracts: typing.Any = ()
+    admission: bool = False
 
     @property
     def internal_address(self) -> str:
@@ -192,6 +199,9 @@
             remote_factor=self.bounds.get("remote_factor", 1.0),
             finished_job_retention_ms=job_retention_s * 1_000
             + CLOCK_JUMP_MARGIN_MS,
+            admission=self.admission
+            and isinstance(self.contracts, list)
+            and "sched" in self.contracts,
         )
 
     @property
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -11,8 +11,10 @@
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.replication import ReplicationError
 from sardinespool.errors.tasks import OtherWorkspaceError
+from sardinespool.errors.tasks import OverloadedError
 from sardinespool.errors.tasks import QueueNotFoundError
 from sardinespool.errors.tasks import UnknownWorkspaceKeyError
+from sardinespool.errors.tasks import UnplaceableJobError
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import InvalidMessageError
@@ -36,11 +38,13 @@
     QueueNotFoundError,
     UnknownWorkspaceKeyError,
     OtherWorkspaceError,
+    OverloadedError,
+    UnplaceableJobError,
 )
 """Refusals that hold for one attempt only.
 
 An earlier attempt without a reply may have been handled under another manifest
-and have taken effect.
+or load and have taken effect.
 """
 
 RETRIED_ERRORS = (
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -16,8 +16,10 @@
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.tasks import JobNotFoundError
 from sardinespool.errors.tasks import OtherWorkspaceError
+from sardinespool.errors.tasks import OverloadedError
 from sardinespool.errors.tasks import QueueNotFoundError
 from sardinespool.errors.tasks import UnknownWorkspaceKeyError
+from sardinespool.errors.tasks import UnplaceableJobError
 from sardinespool.errors.transport import ConnectionLostError
 from sardinespool.errors.transport import FrameError
 from sardinespool.errors.transport import NotReadyError
@@ -203,6 +205,9 @@
         ([ProposalLostError("x"), UnknownWorkspaceKeyError("x")], True),
         ([ProposalLostError("x"), OtherWorkspaceError("x")], True),
         ([ProposalLostError("x"), QueueNotFoundError("x")], True),
+        ([OverloadedError("Late.")], None),
+        ([ProposalLostError("Lapsed."), OverloadedError("Late.")], True),
+        ([ProposalLostError("Lapsed."), UnplaceableJobError("Big.")], True),
     ],
     ids=[
         "first",
@@ -212,6 +217,9 @@
         "key-after-lapse",
         "owner-after-lapse",
         "queue-after-lapse",
+        "overloaded",
+        "overloaded-after-lapse",
+        "unplaceable-after-lapse",
     ],
 )
 def test_fault_after_an_attempt_that_may_have_run_leaves_it_open(
