--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,6 +16,7 @@
 from bench.capacity_bench import state_slopes
 from bench.capacity_bench.bounds import bounds
 from bench.capacity_bench.bounds import REMEDIES
+from bench.capacity_bench.listeners import LISTENERS
 from bench.capacity_bench.roles import tables
 from bench.capacity_bench.slopes import Slope
 from bench.capacity_bench.slopes import TABLE_HEADER
@@ -115,7 +116,8 @@
     ]
     lines += ["", "Changes that would meet the missed bounds:", ""]
     lines += [f"- {text}" for text in REMEDIES]
-    lines += ["", "## Roles", *tables(by_name), "", "## Slopes", ""]
+    lines += ["", "## Roles", *tables(by_name), *LISTENERS]
+    lines += ["", "## Slopes", ""]
     lines += [
         "Least-squares lines through the medians of 5 repetitions (3 of"
         " planning passes and of heartbeats at processes, 2 of starts). Times"
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -36,7 +36,8 @@
 CONNECTION_SHARE = 0.4
 """Share of the memory for connections, whose buffers are seldom full."""
 CONNECTION_BYTES = 49_152
-"""Objects of a connection (16 KiB) and its receive buffer in the kernel."""
+"""What a connection may hold beside the budget: its objects (6.5 KiB), bytes
+read ahead, and 32 KiB in the kernel."""
 RECEIVE_BUDGET_MB_MIN = 20
 """A manifest of 4 MiB in progress takes 12 MiB of the 15 MiB that are not
 reserved for the internal links."""
@@ -85,7 +86,7 @@
     receive_budget_mb: (
         Annotated[int, msgspec.Meta(ge=RECEIVE_BUDGET_MB_MIN)] | None
     ) = None
-    connections: Annotated[int, msgspec.Meta(ge=16)] | None = None
+    connections: Annotated[int, msgspec.Meta(ge=CONNECTIONS_MIN)] | None = None
     request_timeout_ms: _RequestTimeout = _DEADLINES.request_timeout_ms
     minimum_bytes_per_s: _MinimumRate = _DEADLINES.minimum_bytes_per_s
     rate_grace_ms: _RateGrace = _DEADLINES.rate_grace_ms
@@ -107,13 +108,12 @@
             )
         if self.receive_budget_mb is not None:
             budget_bytes = self.receive_budget_mb * 1_048_576
-        if self.file_descriptors is not None:
-            bounds.append(self.file_descriptors - RESERVED_DESCRIPTORS)
         return GuardSettings(
             receive_budget_bytes=budget_bytes,
             connections_max=(
                 max(CONNECTIONS_MIN, min(bounds)) if bounds else None
             ),
+            file_descriptors=self.file_descriptors,
             reserved_descriptors=RESERVED_DESCRIPTORS,
             deadlines=RequestDeadlines(
                 request_timeout_ms=self.request_timeout_ms,
--- a/src/sardinespool/programs/entry/wiring.py
+++ b/src/sardinespool/programs/entry/wiring.py
@@ -22,6 +22,7 @@
 from sardinespool.programs.entry.router_task import RouterTask
 from sardinespool.programs.entry.sync_task import SyncTask
 from sardinespool.programs.entry.worker_handler import WorkerHandler
+from sardinespool.programs.guard_metrics import GuardMetrics
 from sardinespool.routing.key_source import KeySource
 from sardinespool.routing.router import Router
 from sardinespool.settings.model import EntryMember
@@ -29,6 +30,7 @@
 from sardinespool.transport.http_connection_pool import HttpConnectionPool
 from sardinespool.transport.http_server import HttpListener
 from sardinespool.transport.http_server import ServerLimits
+from sardinespool.transport.listener_guard import ListenerGuard
 from sardinespool.transport.tls import peer_client_context
 from sardinespool.transport.tls import server_context
 
@@ -135,6 +137,7 @@
         routes.handle,
         ServerLimits(settings.body_limit_bytes),
         server_context(cluster.tls),
+        guard=ListenerGuard(report=GuardMetrics(metrics).report),
     )
     return EntryComponents(
         member=member,
--- a/src/sardinespool/transport/connection_limits.py
+++ b/src/sardinespool/transport/connection_limits.py
@@ -151,7 +151,6 @@
     def __init__(
         self, limit: int, shares: dict[ConnectionClass, float]
     ) -> None:
-        self._configured_limit = limit
         self._limit = limit
         self._shares = shares
         self._connections: dict[Connection, None] = {}
@@ -167,9 +166,9 @@
         """Number of open connections."""
         return len(self._connections)
 
-    def reserve(self, descriptors: int) -> None:
-        """Take descriptors that the process uses otherwise off the limit."""
-        self._limit = max(1, self._configured_limit - descriptors)
+    def set_limit(self, limit: int) -> None:
+        """Set the limit, which is at least 1."""
+        self._limit = max(1, limit)
 
     def victims_for(self, newcomer: Connection) -> list[Connection]:
         """Return the connections to close before a newcomer is added.
@@ -193,6 +192,21 @@
             return [newcomer]
         return order[: max(excess, int(BATCH_SHARE * self._limit))]
 
+    def surplus(self) -> list[Connection]:
+        """Return the idle connections to close as the limit has shrunk."""
+        excess = len(self._connections) - self._limit
+        if excess <= 0:
+            return []
+        order = closing_order(
+            self._connections,
+            lambda _: 1,
+            ConnectionClass.PEER,
+            True,
+            ADDRESS_SHARE * self._limit,
+            lambda connection: connection.state is ConnectionState.IDLE,
+        )
+        return order[:excess]
+
     def add(self, connection: Connection) -> None:
         """Add an accepted connection."""
         self._connections[connection] = None
--- a/src/sardinespool/transport/guard_settings.py
+++ b/src/sardinespool/transport/guard_settings.py
@@ -30,17 +30,19 @@
     ----------
     receive_budget_bytes : int
         Bytes held for requests that are not completed and for answers.
-    connections_max : int
-        Accepted connections, if no more than `reserved_descriptors` are
-        used otherwise; None for the limit of the operating system.
+    connections_max : int or None
+        Accepted connections; None for what the descriptors allow.
+    file_descriptors : int or None
+        Descriptors of the process; None for the operating system's limit.
     reserved_descriptors : int
-        Descriptors for files and own connections.
+        Descriptors for files and own connections, if these use no more.
     deadlines : RequestDeadlines
         Times and rates of each connection.
     """
 
     receive_budget_bytes: int = 1 << 30
     connections_max: int | None = None
+    file_descriptors: int | None = None
     reserved_descriptors: int = 200
     deadlines: RequestDeadlines = RequestDeadlines()
 
--- a/src/sardinespool/transport/listener_guard.py
+++ b/src/sardinespool/transport/listener_guard.py
@@ -20,12 +20,12 @@
 from sardinespool.transport.receive_budget import PROGRESS_BYTES
 from sardinespool.transport.receive_budget import ReceiveBudget
 
+CONNECTIONS_MIN = 4
+"""One of each class, whatever the process uses otherwise."""
 SWEEP_INTERVAL_MS = 500
 SWEEP_AGE_MAX_MS = 1_000
 """What one sweep adds to the time of the connections at most. A process that
 was suspended must first read what has arrived meanwhile."""
-DESCRIPTOR_COUNT_SWEEPS = 10
-"""Sweeps between two counts of the descriptors, which take 1 ms for 4,000."""
 DRAINING_MAX = 64
 """Clients that are sent a refusal while they are still sending."""
 RUNNING_OVERHEAD_BYTES = 4_096
@@ -170,25 +170,26 @@
         report: Callable[[Refusal], None] = lambda _: None,
     ) -> None:
         settings = settings or GuardSettings()
-        connections_max = settings.connections_max
-        if connections_max is None:
-            soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-            if soft_limit == resource.RLIM_INFINITY:
-                soft_limit = 1 << 20
-            connections_max = max(
-                1, soft_limit - settings.reserved_descriptors
-            )
+        self._descriptors = settings.file_descriptors
+        if self._descriptors is None:
+            self._descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+            if self._descriptors == resource.RLIM_INFINITY:
+                self._descriptors = 1 << 20
         self._settings = settings
         self._report = report
         self._budget = ReceiveBudget(
             settings.receive_budget_bytes, BYTE_SHARES
         )
-        self._limits = ConnectionLimits(connections_max, CONNECTION_SHARES)
+        self._limits = ConnectionLimits(
+            self._connection_limit(0), CONNECTION_SHARES
+        )
         self._streams: dict[Connection, GuardedStream] = {}
+        # Classes without room since the last sweep or end of a connection;
+        # a scan of 3,900 connections for each newcomer would take 6 ms.
+        self._full_classes: set[ConnectionClass] = set()
         self._draining = 0
         self._now_ms = 0
         self._swept_s = 0.0
-        self._sweeps = 0
         self._sweep_handle: asyncio.TimerHandle | None = None
 
     @property
@@ -292,6 +293,7 @@
         """Forget a connection that has ended."""
         connection = guarded.connection
         self._limits.remove(connection)
+        self._full_classes.clear()
         self._streams.pop(connection, None)
         # A request in progress holds its memory until it is completed.
         if connection.state is not ConnectionState.RUNNING:
@@ -300,8 +302,11 @@
             self._budget.release(connection)
 
     def _make_room_for(self, newcomer: Connection) -> bool:
+        if newcomer.connection_class in self._full_classes:
+            return False
         victims = self._limits.victims_for(newcomer)
         if newcomer in victims:
+            self._full_classes.add(newcomer.connection_class)
             return False
         # A burst may have sent requests on all connections that are idle.
         for force in (False, True):
@@ -349,27 +354,41 @@
         elapsed_ms = int((loop.time() - self._swept_s) * 1_000)
         self._swept_s = loop.time()
         self._now_ms += min(elapsed_ms, SWEEP_AGE_MAX_MS)
+        self._full_classes.clear()
         deadlines = self._settings.deadlines
         for connection, guarded in list(self._streams.items()):
             if deadlines.is_overdue(
                 connection, self._now_ms, guarded.idle_timeout_ms
             ):
                 self._give_up(connection, "deadline", drain=False)
-        self._sweeps += 1
-        if self._sweeps % DESCRIPTOR_COUNT_SWEEPS == 0:
-            self._count_descriptors()
+        self._yield_to_own_connections()
         if self._streams:
             self._schedule_sweep(loop)
         else:
             # An idle process isn't woken.
             self._sweep_handle = None
 
-    def _count_descriptors(self) -> None:
+    def _connection_limit(self, used_descriptors: int) -> int:
+        """Return the limit if so many descriptors are used otherwise."""
+        assert self._descriptors is not None
+        limit = self._descriptors - max(
+            used_descriptors, self._settings.reserved_descriptors
+        )
+        connections_max = self._settings.connections_max
+        if connections_max is not None:
+            limit = min(limit, connections_max)
+        return max(CONNECTIONS_MIN, limit)
+
+    def _yield_to_own_connections(self) -> None:
+        """Leave the descriptors that the process itself has opened.
+
+        A new leader opens two connections to each worker.
+        """
         with contextlib.suppress(OSError):
             used = len(os.listdir("/proc/self/fd")) - self._limits.count
-            self._limits.reserve(
-                max(0, used - self._settings.reserved_descriptors)
-            )
+            self._limits.set_limit(self._connection_limit(used))
+        for victim in self._limits.surplus():
+            self._give_up(victim, "connections", drain=False)
 
 
 def _refusal(reason: str, connection: Connection) -> Refusal:
