Count unread replies of internal links, and test ordinary clients

Cause: a stranger that presents itself as a peer and reads no replies took 325 MiB of a core (20 connections, 4 reads of a manifest of 3.5 MB each). With the budget it took 97.8 of 96 MiB: a link with calls that were not read yet was spared, and large frames were copied once more to be sent with their length.

Change: what is closed for memory is closed although more has arrived; frames from 64 KiB on are written beside their length. test_answers_that_are_not_read has the case "frames", and test_ordinary_clients checks that 300 clients at once are not refused.

--- a/src/sardinespool/transport/frame_stream.py
+++ b/src/sardinespool/transport/frame_stream.py
@@ -16,6 +16,8 @@
 
 _LENGTH_PREFIX = struct.Struct(">I")
 WRITE_BUFFER_BYTES_MAX = 16 * 1_048_576
+COPY_BYTES_MAX = 65_536
+"""Larger frames are not copied to be sent with their length in one packet."""
 
 
 class FrameStream:
@@ -86,10 +88,14 @@
         if self._unsent_bytes + len(data) > WRITE_BUFFER_BYTES_MAX:
             self.close()
             raise ConnectionLostError("The peer does not read.")
+        prefix = _LENGTH_PREFIX.pack(len(data))
         try:
-            write_future = self._stream.write(
-                _LENGTH_PREFIX.pack(len(data)) + data
-            )
+            if len(data) < COPY_BYTES_MAX:
+                write_future = self._stream.write(prefix + data)
+            else:
+                # Its completion is that of the second write.
+                self._stream.write(prefix)
+                write_future = self._stream.write(data)
         except StreamClosedError as error:
             raise ConnectionLostError("The connection ended.") from error
         self._unsent_bytes += len(data)
--- a/src/sardinespool/transport/listener_guard.py
+++ b/src/sardinespool/transport/listener_guard.py
@@ -332,6 +332,7 @@
         if (
             victim.state is ConnectionState.IDLE
             and not force
+            and reason != "memory"
             and _has_arrived(guarded)
         ):
             return
--- a/testing/hostile_clients/test_connections.py
+++ b/testing/hostile_clients/test_connections.py
@@ -14,10 +14,16 @@
 
 import pytest
 
+from sardinespool.messages import codec
+from sardinespool.messages.manifest import ReadManifest
+from sardinespool.programs.controller.settings import CONTROL_GROUP
+from sardinespool.transport.frames import Frame
+from sardinespool.transport.frames import FrameKind
 from testing.hostile_clients.crowd import Attack
 from testing.hostile_clients.crowd import CALLER_BODY_BYTES
 from testing.hostile_clients.crowd import crowd
 from testing.hostile_clients.crowd import fixed_length
+from testing.hostile_clients.crowd import frame
 from testing.hostile_clients.crowd import FRAME_BYTES
 from testing.hostile_clients.crowd import HELLO
 from testing.hostile_clients.crowd import PIECE_BYTES
@@ -87,8 +93,22 @@
             _check_served(platform, listener, expected, descriptors_max)
 
 
-def test_answers_that_are_not_read(tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize("listener", ["control", "frames"])
+def test_answers_that_are_not_read(
+    tmp_path: pathlib.Path, listener: str
+) -> None:
     """Guards against memory for large answers; the clients read nothing."""
+    call = Frame(
+        FrameKind.CALL,
+        call_id=1,
+        group=CONTROL_GROUP,
+        body=codec.encode(ReadManifest()),
+        deadline_unix_ms=int(time.time() * 1_000) + 60_000,
+    )
+    attack = {
+        "control": Attack(READ_MANIFEST, 40),
+        "frames": Attack(HELLO + frame(call) * 4, 20),
+    }[listener]
     with run_platform(tmp_path, "control") as platform:
         host, port = platform.address("control")
         padding = "x" * MANIFEST_BYTES
@@ -99,13 +119,32 @@
         ).close()
         expected = ordinary_answer(platform, "control")
         assert expected[0] == 200
-        with crowd((host, port), Attack(READ_MANIFEST, 40)):
+        with crowd(platform.address(listener), attack):
             # Each answer lets the process go on with those before it.
             for _ in range(5):
                 assert ordinary_answer(platform, "control") == expected
             _check_served(platform, "control", expected, MANY_DESCRIPTORS)
 
 
+def test_ordinary_clients(tmp_path: pathlib.Path) -> None:
+    """Guards against limits that clients meet who do nothing wrong.
+
+    It fails on code without a metric of refusals, too.
+    """
+    attack = Attack(fixed_length("/jobs/j1", 600), 300)
+    with run_platform(tmp_path, "callers", MANY_DESCRIPTORS) as platform:
+        with crowd(platform.address("callers"), attack):
+            _, answer = ordinary_answer(platform, "callers")
+            assert b"invalid-job" in answer
+            host, port = platform.address("front status")
+            with urllib.request.urlopen(
+                f"http://{host}:{port}/metrics"
+            ) as response:
+                metrics = response.read()
+        assert b"# HELP sardinespool_refused_connections_total" in metrics
+        assert b"sardinespool_refused_connections_total{" not in metrics
+
+
 def test_connections_that_are_reset(tmp_path: pathlib.Path) -> None:
     """Guards against descriptors that stay open after a reset."""
     with run_platform(tmp_path, "callers", FEW_DESCRIPTORS) as platform:
