Let the quotas of teams use the decision of the workspaces

The daemons compared use, need and quota in two places of their own, the control group in a third.

placement/ordering.py and tasks/placement_limits.py call workspaces/limits.py; a limit is None where there is none, as a quota of 0 allows nothing. A team's task counts as a gang of one, which has no rule below half of the limit.

--- a/src/sardinespool/dispatch/share_order.py
+++ b/src/sardinespool/dispatch/share_order.py
@@ -130,7 +130,7 @@
                 in_use = self._limits.usage.of(name)
                 rooms[name] = Resources(
                     *(
-                        max(0, most - used) if most else need
+                        need if most is None else max(0, most - used)
                         for used, most, need in zip(
                             in_use,
                             limit_of(workspace),
--- a/src/sardinespool/dispatch/start_limits.py
+++ b/src/sardinespool/dispatch/start_limits.py
@@ -16,9 +16,9 @@
 from sardinespool.observability.logs import get_logger
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workspaces.limits import is_exceeded
+from sardinespool.workspaces.limits import Limit
 from sardinespool.workspaces.limits import limit_of
 from sardinespool.workspaces.limits import may_start
-from sardinespool.workspaces.usage import Resources
 from sardinespool.workspaces.usage import task_need
 from sardinespool.workspaces.usage import WorkspaceUsage
 
@@ -50,7 +50,7 @@
         self._workers = workers
         self.usage = WorkspaceUsage()
         self._checked_version: int | None = None
-        self._limits: dict[str, Resources] = {}
+        self._limits: dict[str, Limit] = {}
         self._limits_version: int | None = None
         self._excess: dict[RunKey, tuple[WorkerState, RunState]] = {}
 
@@ -120,7 +120,7 @@
             if is_exceeded(self.usage.of(name), limit):
                 self._find_excess(name, limit)
 
-    def _find_excess(self, name: str, limit: Resources) -> None:
+    def _find_excess(self, name: str, limit: Limit) -> None:
         """Add the planned starts of a workspace that don't fit.
 
         Starts that were sent may have arrived, each of them or none, so none
--- a/src/sardinespool/dispatch/workspace_log.py
+++ b/src/sardinespool/dispatch/workspace_log.py
@@ -127,13 +127,13 @@
             "share": round(self._shares.share_of(name), 4),
             "weight": 0 if workspace is None else workspace.weight,
         }
-        limit = None if workspace is None else limit_of(workspace)
+        limit = (None,) * 3 if workspace is None else limit_of(workspace)
         in_use = self._limits.usage.of(name)
-        for field, used in in_use._asdict().items():
+        for field, used, most in zip(
+            in_use._fields, in_use, limit, strict=True
+        ):
             facts[field] = used
-            facts[f"{field}_max"] = (
-                0 if limit is None else getattr(limit, field)
-            )
+            facts[f"{field}_max"] = most or 0
         return facts
 
     def _label(self, name: str) -> str:
--- a/src/sardinespool/placement/ordering.py
+++ b/src/sardinespool/placement/ordering.py
@@ -7,6 +7,7 @@
 from sardinespool.messages.tasks import TaskView
 from sardinespool.placement.demand import Demand
 from sardinespool.placement.fleet import FleetState
+from sardinespool.workspaces.limits import may_start
 
 QUOTA_FIELDS = (
     "processors_millicores",
@@ -91,12 +92,7 @@
             demand.accelerators,
             1,
         )
-        return all(
-            limit is None or used + added_amount <= limit
-            for used, added_amount, limit in zip(
-                current_use, added, limits, strict=True
-            )
-        )
+        return may_start(current_use, added, limits, gang_size=1)
 
 
 def order_tasks(
--- a/src/sardinespool/tasks/placement_limits.py
+++ b/src/sardinespool/tasks/placement_limits.py
@@ -6,6 +6,7 @@
 from sardinespool.tasks.reservation import Reservation
 from sardinespool.tasks.table import TaskTable
 from sardinespool.tasks.workers import WorkerRecord
+from sardinespool.workspaces.limits import may_start
 
 _RESOURCE_FIELDS = ("processors_millicores", "memory_mb", "accelerators")
 _QUOTA_FIELDS = (*_RESOURCE_FIELDS, "running_tasks")
@@ -44,11 +45,12 @@
     ):
         return "worker-full"
     team = table.jobs[task.job_id].job.team
-    team_total = table.reserved_by(team).plus(reservation)
-    if any(
-        field_name in quota
-        and getattr(team_total, field_name) > quota[field_name]
-        for field_name in _QUOTA_FIELDS
+    team_use = table.reserved_by(team)
+    if not may_start(
+        [getattr(team_use, name) for name in _QUOTA_FIELDS],
+        [getattr(reservation, name) for name in _QUOTA_FIELDS],
+        [quota.get(name) for name in _QUOTA_FIELDS],
+        gang_size=1,
     ):
         return "quota-exceeded"
     return ""
--- a/testing/workspaces/test_limits.py
+++ b/testing/workspaces/test_limits.py
@@ -16,7 +16,7 @@
 from sardinespool.workspaces.usage import Resources
 from testing.workflows.support import QUEUE
 
-LIMIT = Resources(1_000, 100, 0)
+LIMIT = (1_000, 100, None)
 
 
 @pytest.mark.parametrize(
