Attempt a slow connection between members again

Cause: on a link that loses packets, the first packet of a connection may be lost; the operating system sends it again after 1 s, when the attempt has timed out. A member that lost its disk then can't reach the leader in time to be a voter again within 4 s.

Change: PeerLink makes a further attempt each 250 ms beside those that are open, and takes the first that succeeds.

The new test fails before the change. It failed once of 18 runs, with a closed connection, while the folder ran beside other work; its fixture closes a connection after 100 ms of silence, which the test now sets to 60 s.

--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -4,6 +4,7 @@
 import itertools
 import ssl
 
+from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
@@ -19,6 +20,10 @@
 from sardinespool.transport.frames import PROTOCOL_VERSION
 
 CONNECT_TIMEOUT_MS = 1_000
+CONNECT_REPEAT_MS = 250
+"""Interval of further attempts while one is open. The operating system sends
+the first packet of a connection again only after 1 s, and on a link that
+loses packets a member that lost its disk must rejoin within 4 s."""
 RECONNECT_DELAY_MIN_MS = 50
 RECONNECT_DELAY_MAX_MS = 1_000
 QUEUED_FRAMES_MAX = 1_000
@@ -166,13 +171,37 @@
         host, port = split_address(self._address)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                stream = await self._tcp_client.connect(
-                    host, port, ssl_options=self._tls_context
-                )
+                stream = await self._connect_repeatedly(host, port)
         except TimeoutError as error:
             raise ConnectionLostError("The connect timed out.") from error
         return FrameStream(stream)
 
+    async def _connect_repeatedly(self, host: str, port: int) -> IOStream:
+        """Return the first connection; a failed attempt ends all."""
+        attempts: set[asyncio.Task[IOStream]] = set()
+        done: set[asyncio.Task[IOStream]] = set()
+        try:
+            while not done:
+                attempts.add(
+                    asyncio.create_task(
+                        self._tcp_client.connect(
+                            host, port, ssl_options=self._tls_context
+                        )
+                    )
+                )
+                done, _ = await asyncio.wait(
+                    attempts,
+                    timeout=CONNECT_REPEAT_MS / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            first = done.pop()
+            attempts.remove(first)
+            return first.result()
+        finally:
+            for attempt in attempts:
+                attempt.add_done_callback(_close_connection)
+                attempt.cancel()
+
     async def _serve_connection(
         self, stream: FrameStream, first_frame: Frame
     ) -> None:
@@ -244,6 +273,12 @@
         )
 
 
+def _close_connection(attempt: asyncio.Task[IOStream]) -> None:
+    """Close the connection of an attempt that is not needed, if any."""
+    if not attempt.cancelled() and attempt.exception() is None:
+        attempt.result().close()
+
+
 def hello_frame(sender: str, token: str) -> Frame:
     """Return the frame that opens and authenticates a connection."""
     return Frame(
--- a/testing/transport/test_silent_peer.py
+++ b/testing/transport/test_silent_peer.py
@@ -1,8 +1,12 @@
 """Tests of connections that stop delivering data without a reset."""
 
 import asyncio
+import itertools
+from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
+from tornado.tcpclient import TCPClient
 
 from sardinespool.errors.transport import CallTimeoutError
 from sardinespool.errors.transport import ConnectionLostError
@@ -56,6 +60,37 @@
     asyncio.run(run())
 
 
+def test_connection_is_attempted_again_soon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lost first packet that delays a rejoin by a second."""
+    monkeypatch.setattr(peer_link, "CONNECT_TIMEOUT_MS", 60_000)
+    monkeypatch.setattr(peer_link, "SILENCE_TIMEOUT_MS", 60_000)
+    connect = TCPClient.connect
+    attempts = itertools.count(1)
+
+    async def lose_first(
+        client: TCPClient, *arguments: Any, **options: Any
+    ) -> IOStream:
+        if next(attempts) == 1:
+            await asyncio.Event().wait()
+        return await connect(client, *arguments, **options)
+
+    monkeypatch.setattr(TCPClient, "connect", lose_first)
+
+    async def run() -> None:
+        server = FrameServer("t", SlowHandler(), None)
+        server.listen(0, "127.0.0.1")
+        (listening_socket,) = server._sockets.values()
+        port = listening_socket.getsockname()[1]
+        link = PeerLink(f"127.0.0.1:{port}", hello_frame("a", "t"), None)
+        assert await link.call("g", b"", 0, 30_000) == b"late"
+        await link.close()
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_keepalives_preserve_a_connection_with_a_slow_call() -> None:
     """Guards against closing a working connection."""
 
