--- a/testing/dispatch/flood.py
+++ b/testing/dispatch/flood.py
@@ -1,6 +1,5 @@
 """Replay of twenty workspaces, one of which floods, in virtual time."""
 
-import dataclasses
 import random
 import zlib
 
@@ -26,29 +25,15 @@
 """Completion objective of the simulated queue."""
 
 
-@dataclasses.dataclass(frozen=True)
-class FloodOutcome:
-    """Jobs in time, by name.
-
-    Attributes
-    ----------
-    others : frozenset of str
-        Jobs in time of the workspaces that don't flood.
-    flooder : int
-        Number of jobs in time of the one that does.
-    """
-
-    others: frozenset[str]
-    flooder: int
-
-
 def replay_flood(
     factor: float,
     seed: int,
     others_width: int = 1,
     rejects_excess: bool = False,
-) -> FloodOutcome:
-    """Play the load; the flooder sends `factor` times what it is owed.
+) -> frozenset[str]:
+    """Play the load and return the jobs in time, all named by workspace.
+
+    The flooder sends `factor` times what the others do of their quota.
 
     Parameters
     ----------
@@ -115,5 +100,4 @@
         ):
             in_time.add(job_id)
     assert simulation.oracle.violations == []
-    others = {job_id for job_id in in_time if not job_id.startswith(FLOODER)}
-    return FloodOutcome(frozenset(others), len(in_time) - len(others))
+    return frozenset(in_time)
--- a/testing/dispatch/workspace_simulation.py
+++ b/testing/dispatch/workspace_simulation.py
@@ -1,7 +1,5 @@
 """A simulation whose jobs belong to workspaces, and an oracle of limits."""
 
-import collections
-
 import msgspec
 
 from sardinespool.messages.manifest import WorkspaceSpec
@@ -9,9 +7,10 @@
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
 from testing.dispatch.oracle import Oracle
-from testing.dispatch.oracle import Resources
 from testing.dispatch.simulation import Simulation
 
+Amounts = tuple[int, int]
+"""Processors in millicores and memory in MB."""
 OVERAGE = 0.1
 """Share above its limit that a workspace may have running."""
 
@@ -28,8 +27,6 @@
         allows. The rule is stricter than the promise, which adds an overage.
     overruns : list of str
         Starts that break the promise.
-    peak_use : dict of str to int
-        Most millicores that ran at a time, by workspace.
     """
 
     def __init__(self) -> None:
@@ -37,10 +34,9 @@
         self.workspace_of: dict[str, str] = {}
         self.excesses: list[str] = []
         self.overruns: list[str] = []
-        self.peak_use: collections.Counter[str] = collections.Counter()
-        self._limits: list[tuple[int, dict[str, Resources]]] = []
+        self._limits: list[tuple[int, dict[str, Amounts]]] = []
 
-    def limits_changed(self, limits: dict[str, Resources]) -> None:
+    def limits_changed(self, limits: dict[str, Amounts]) -> None:
         """Record the limits that are in force from now on."""
         self._limits.append((self.now_ms, limits))
 
@@ -55,17 +51,14 @@
             for item in tasks
             if self.workspace_of[item.split(".")[0]] == name
         ]
-        self.peak_use[name] = max(
-            self.peak_use[name], sum(need[0] for need in needs)
-        )
         since_ms = self.now_ms if sent_ms is None else sent_ms
         in_force = [
-            limits.get(name, (0, 0, 0))
+            limits.get(name, (0, 0))
             for position, (_, limits) in enumerate(self._limits)
             if position + 1 == len(self._limits)
             or self._limits[position + 1][0] >= since_ms
         ]
-        for column in range(3):
+        for column in range(2):
             if not in_force or any(limit[column] == 0 for limit in in_force):
                 continue
             limit = max(limit[column] for limit in in_force)
@@ -78,8 +71,8 @@
                 self.excesses.append(f"{self.now_ms} ms: {text}")
 
 
-def _need(step: StepSpec) -> Resources:
-    return step.processors_millicores, step.memory_mb, step.accelerators
+def _need(step: StepSpec) -> Amounts:
+    return step.processors_millicores, step.memory_mb
 
 
 class WorkspaceSimulation(Simulation):
@@ -99,11 +92,7 @@
         assert current is not None
         self.oracle.limits_changed(
             {
-                item.name: (
-                    item.processors_millicores_max,
-                    item.memory_mb_max,
-                    item.accelerators_max,
-                )
+                item.name: (item.processors_millicores_max, item.memory_mb_max)
                 for item in workspaces
             }
         )
