--- a/src/sardinespool/dispatch/near_waits.py
+++ b/src/sardinespool/dispatch/near_waits.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -83,6 +84,13 @@
         """Forget the waits of an earlier leadership."""
         self._since.clear()
         self._logged.clear()
+        self._metrics.near_waiting_steps.set(0)
+
+    def retain(self, ready: Container[StepKey], now: Instant) -> None:
+        """End the waits of the steps that are not ready any more."""
+        self._now = now
+        for key in [key for key in self._since if key not in ready]:
+            self._end_wait(key)
 
     def begin_pass(
         self,
@@ -103,9 +111,6 @@
         """
         if self._factor <= 1.0:
             return
-        self._now = now
-        for key in self._since.keys() - ready.keys():
-            self._end_wait(key)
         self._logged = {
             key: at_ms for key, at_ms in self._logged.items() if key in ready
         }
@@ -119,7 +124,6 @@
             any(_wants_one_rack(step.spec) for step in ready.values()),
             now.boot_ms,
         )
-        self._metrics.near_waiting_steps.set(len(self._since))
 
     def awaits_near(
         self,
@@ -234,6 +238,7 @@
             self._supply.reserve(rack, demand)
             if step.key not in self._since:
                 self._since[step.key] = self._now.boot_ms
+                self._metrics.near_waiting_steps.set(len(self._since))
                 _log_choice("waits for a near worker", step, rack, choice)
             return True
         self._metrics.near_starts.inc(place="remote", reason=verdict.name)
@@ -286,6 +291,7 @@
     def _end_wait(self, key: StepKey) -> None:
         """Forget the wait of a step without waiting tasks."""
         waited_ms = self._now.boot_ms - self._since.pop(key)
+        self._metrics.near_waiting_steps.set(len(self._since))
         _LOG.info(
             "wait for a near worker ended",
             job=key[0],
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -115,6 +115,7 @@
             self.order.congestion.update(
                 (), self._machine.table.waiting_counts(), now
             )
+        self._near.retain(ready, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
--- a/testing/dispatch/near_load.py
+++ b/testing/dispatch/near_load.py
@@ -23,6 +23,8 @@
 TASKS = 10
 RUN_MS = (540, 640)
 TASK_SPREAD = 0.2
+DECLARED_ERROR = 0.5
+"""Standard deviation of the logarithm of declared run times."""
 WARM_UP_MS = 4_000
 DAY_MS = 14_000
 HOT_MS = (4_000, 10_000)
@@ -45,8 +47,6 @@
         Share of the jobs that want the hot rack meanwhile.
     remote_factor : float
         Run time of a remote task, as a multiple.
-    estimate_error : float
-        Standard deviation of the logarithm of declared run times.
     """
 
     name: str
@@ -54,7 +54,6 @@
     wish: float = 0.3
     hot: float = 0.0
     remote_factor: float = 2.0
-    estimate_error: float = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,7 +136,7 @@
             processors_millicores=TASK_MILLICORES,
             memory_mb=10,
             expected_run_ms=int(
-                run_ms[name] * rng.lognormvariate(0.0, load.estimate_error)
+                run_ms[name] * rng.lognormvariate(0.0, DECLARED_ERROR)
             ),
             data_rack=racks[name],
         )
