--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -127,6 +127,7 @@
                 (), self._machine.table.waiting_counts(), now
             )
             self.workspace_log.update(None, now)
+        self._near.retain(ready, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
