Give up a refused client once, and test each limit

Cause: mutations of the limits survived the tests: the number of clients that are read on, the time of a frozen process, own descriptors, spared requests, headers, calls in progress and kernel buffers. The first of these tests showed a fault: a client whose read was over the budget twice in a pass was refused and then closed before it could read the refusal.

--- a/src/sardinespool/transport/connection_limits.py
+++ b/src/sardinespool/transport/connection_limits.py
@@ -111,8 +111,8 @@
     def is_over(connection: Connection) -> bool:
         return weights[connection.address] > address_limit
 
-    # The addresses over their share come first, the heaviest one first, and
-    # their classes don't count.
+    # The addresses over their share come first, the heaviest one first: their
+    # classes don't count, and no address of the lowest class is heavier.
     return sorted(
         (
             connection
@@ -121,7 +121,6 @@
             or (include_higher and is_over(connection))
         ),
         key=lambda connection: (
-            not is_over(connection),
             0 if is_over(connection) else connection.connection_class,
             -weights[connection.address],
             _CLOSING_ORDER[connection.state],
--- a/src/sardinespool/transport/frame_server.py
+++ b/src/sardinespool/transport/frame_server.py
@@ -23,7 +23,7 @@
 from sardinespool.transport.frames import Frame
 from sardinespool.transport.frames import FrameKind
 from sardinespool.transport.frames import PROTOCOL_VERSION
-from sardinespool.transport.listener_guard import GuardedStream
+from sardinespool.transport.guarded_stream import GuardedStream
 from sardinespool.transport.listener_guard import ListenerGuard
 
 HELLO_TIMEOUT_MS = 5_000
--- a/src/sardinespool/transport/frame_stream.py
+++ b/src/sardinespool/transport/frame_stream.py
@@ -12,7 +12,7 @@
 from sardinespool.transport.frames import encode_frame
 from sardinespool.transport.frames import Frame
 from sardinespool.transport.frames import FRAME_BYTES_MAX
-from sardinespool.transport.listener_guard import GuardedStream
+from sardinespool.transport.guarded_stream import GuardedStream
 
 _LENGTH_PREFIX = struct.Struct(">I")
 WRITE_BUFFER_BYTES_MAX = 16 * 1_048_576
--- a/src/sardinespool/transport/http_server.py
+++ b/src/sardinespool/transport/http_server.py
@@ -17,10 +17,10 @@
 from sardinespool.transport.arrivals import ArrivalRecorder
 from sardinespool.transport.arrivals import LoopWatch
 from sardinespool.transport.connection_limits import ConnectionClass
+from sardinespool.transport.guarded_stream import GuardedStream
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
 from sardinespool.transport.http_stream import is_closed_by_peer
-from sardinespool.transport.listener_guard import GuardedStream
 from sardinespool.transport.listener_guard import ListenerGuard
 from sardinespool.transport.request_receiver import RequestReceiver
 from sardinespool.transport.waiting_server import WaitingServer
--- a/src/sardinespool/transport/listener_guard.py
+++ b/src/sardinespool/transport/listener_guard.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import resource
-import socket
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
@@ -17,6 +16,7 @@
 from sardinespool.transport.guard_settings import CONNECTION_SHARES
 from sardinespool.transport.guard_settings import GuardSettings
 from sardinespool.transport.guard_settings import Refusal
+from sardinespool.transport.guarded_stream import GuardedStream
 from sardinespool.transport.receive_budget import PROGRESS_BYTES
 from sardinespool.transport.receive_budget import ReceiveBudget
 
@@ -28,129 +28,6 @@
 was suspended must first read what has arrived meanwhile."""
 DRAINING_MAX = 64
 """Clients that are sent a refusal while they are still sending."""
-RUNNING_OVERHEAD_BYTES = 4_096
-"""Decoded request, task and answer of a small request."""
-BODY_COPIES = 3
-"""A body in progress, its decoded message and the encoded call."""
-
-
-class GuardedStream:
-    """Accounts for one accepted connection.
-
-    Parameters
-    ----------
-    guard : ListenerGuard
-        Guard of the process.
-    stream : IOStream
-        Stream of the connection, not read yet.
-    connection : Connection
-        State of the connection.
-    idle_timeout_ms : int
-        Time between requests after which the connection is closed.
-    """
-
-    __slots__ = (
-        "_closed",
-        "_guard",
-        "_read_from_fd",
-        "connection",
-        "idle_timeout_ms",
-        "refuse",
-        "stream",
-    )
-
-    def __init__(
-        self,
-        guard: "ListenerGuard",
-        stream: IOStream,
-        connection: Connection,
-        idle_timeout_ms: int,
-    ) -> None:
-        self._guard = guard
-        self._closed = False
-        self.stream = stream
-        self.connection = connection
-        self.idle_timeout_ms = idle_timeout_ms
-        self.refuse: Callable[[int, bool], None] = lambda _status, _drain: (
-            stream.close()
-        )
-        """Answers with a status; whether to read on until it is sent."""
-        # The server creates its streams itself and takes no class for them.
-        self._read_from_fd = stream.read_from_fd
-        setattr(stream, "read_from_fd", self._read)  # noqa: B010
-
-    def _read(self, buffer: bytearray | memoryview) -> int | None:
-        count = self._read_from_fd(buffer)
-        if count:
-            self._guard.add_received(self, count)
-        return count
-
-    def hold(self, size_bytes: int) -> None:
-        """Set the bytes that are held for the connection."""
-        change_bytes = size_bytes - self.connection.held_bytes
-        self._guard.change(self, change_bytes)
-
-    def add_overhead(self, size_bytes: int) -> None:
-        """Account for objects that were made from received bytes."""
-        self._guard.change(self, size_bytes)
-
-    def set_received(self, size_bytes: int) -> None:
-        """Note that a message of this size is complete.
-
-        What is held beyond it (bytes read ahead, calls in progress, unsent
-        replies) stays accounted for.
-        """
-        if self.connection.state is ConnectionState.RECEIVING:
-            ahead: int = self.stream._read_buffer_size
-            self._guard.set_state(
-                self,
-                ConnectionState.RECEIVING if ahead else ConnectionState.IDLE,
-            )
-        self._guard.change(self, -size_bytes)
-
-    def start_running(self, body_bytes: int) -> bool:
-        """Note that the request is complete and is handled.
-
-        Returns
-        -------
-        bool
-            False if there is no room; the request is then refused.
-        """
-        if not self._guard.change(
-            self, RUNNING_OVERHEAD_BYTES + (BODY_COPIES - 1) * body_bytes
-        ):
-            return False
-        self._guard.set_state(self, ConnectionState.RUNNING)
-        return True
-
-    def set_answering(self, answer_bytes: int) -> None:
-        """Note that the answer is being sent."""
-        self._guard.set_state(self, ConnectionState.ANSWERING)
-        self.hold(answer_bytes)
-
-    def set_draining(self) -> None:
-        """Note that what still arrives is discarded."""
-        self._guard.set_state(self, ConnectionState.DRAINING)
-        self.hold(0)
-
-    def set_idle(self) -> None:
-        """Note that the request has ended."""
-        # Bytes that were read ahead belong to the next request.
-        ahead_bytes: int = self.stream._read_buffer_size
-        state = ConnectionState.IDLE
-        if ahead_bytes and not self._closed:
-            state = ConnectionState.RECEIVING
-        self._guard.set_state(self, state)
-        self.hold(0 if self._closed else ahead_bytes)
-
-    def promote(self, connection_class: ConnectionClass) -> None:
-        """Set the class of a connection that has proved its identity."""
-        self._guard.promote(self, connection_class)
-
-    def close(self) -> None:
-        """Note that the connection has ended."""
-        self._closed = True
-        self._guard.remove(self)
 
 
 class ListenerGuard:
@@ -333,9 +210,12 @@
             victim.state is ConnectionState.IDLE
             and not force
             and reason != "memory"
-            and _has_arrived(guarded)
+            and guarded.has_arrived()
         ):
             return
+        if victim.state is ConnectionState.DRAINING and reason == "memory":
+            # It holds nothing since it was given up by an earlier read.
+            return
         if victim.state is not ConnectionState.IDLE or reason != "deadline":
             self._report(_refusal(reason, victim))
         if victim.state is ConnectionState.RECEIVING:
@@ -400,15 +280,3 @@
         connection.state,
         connection.received_bytes,
     )
-
-
-def _has_arrived(guarded: GuardedStream) -> bool:
-    """Return whether a request has arrived that was not read yet."""
-    try:
-        data = guarded.stream.socket.recv(
-            1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-        )
-    except (OSError, ValueError, AttributeError):
-        # Nothing to read, closed, or TLS, which can't be peeked.
-        return False
-    return bool(data)
--- a/src/sardinespool/transport/request_receiver.py
+++ b/src/sardinespool/transport/request_receiver.py
@@ -8,10 +8,10 @@
 
 from sardinespool.transport import system_clock
 from sardinespool.transport.arrivals import ArrivalRecorder
+from sardinespool.transport.guarded_stream import GuardedStream
 from sardinespool.transport.http_messages import Headers
 from sardinespool.transport.http_messages import HttpRequest
 from sardinespool.transport.http_messages import HttpResponse
-from sardinespool.transport.listener_guard import GuardedStream
 
 _DRAIN_LIMIT_FACTOR = 8
 """Bodies over the limit are read and discarded up to 8 times the limit.
--- a/src/sardinespool/transport/waiting_server.py
+++ b/src/sardinespool/transport/waiting_server.py
@@ -12,7 +12,7 @@
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
-from sardinespool.transport.listener_guard import GuardedStream
+from sardinespool.transport.guarded_stream import GuardedStream
 
 READ_BYTES = 16_384
 """Bytes of one read, which each connection may hold unasked."""
--- a/testing/transport/test_limits.py
+++ b/testing/transport/test_limits.py
@@ -52,8 +52,8 @@
         ),
         pytest.param(
             [
-                (CALLER, "a", RECEIVING, 5, 40),
-                (STATUS, "s", RECEIVING, 9, 20),
+                (CALLER, "a", RECEIVING, 9, 40),
+                (STATUS, "s", RECEIVING, 5, 20),
             ],
             0,
             [0],
--- a/testing/transport/test_listener_guard.py
+++ b/testing/transport/test_listener_guard.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
+from tornado.iostream import IOStream
 
+from sardinespool.programs.controller.settings import CONTROL_GROUP
 from sardinespool.programs.guard_metrics import RefusalLog
+from sardinespool.transport import frame_server
+from sardinespool.transport import listener_guard
+from sardinespool.transport.connection_limits import ConnectionClass
 from sardinespool.transport.frame_server import FrameServer
+from sardinespool.transport.frames import Frame
+from sardinespool.transport.frames import FrameKind
 from sardinespool.transport.guard_settings import GuardSettings
 from sardinespool.transport.guard_settings import Refusal
 from sardinespool.transport.http_messages import HttpResponse
@@ -17,6 +26,9 @@
 from sardinespool.transport.listener_guard import ListenerGuard
 from sardinespool.transport.request_deadlines import RequestDeadlines
 from testing.entry.scripted_server import run_async
+from testing.hostile_clients.crowd import frame
+from testing.hostile_clients.crowd import HELLO
+from testing.transport.test_arrivals import stand_still
 from testing.transport.test_frames import free_address
 
 BODY_LIMIT_BYTES = 200_000
@@ -36,17 +48,23 @@
         self.port = int(address.partition(":")[2])
         self.refusals: list[Refusal] = []
         self.handled = 0
+        self.held_bytes = 0
         self.answer = b"answer"
         self.guard = ListenerGuard(settings, self.refusals.append)
         self.listener = HttpListener(
             address,
             self._handle,
-            ServerLimits(BODY_LIMIT_BYTES, idle_timeout_s=idle_timeout_s),
+            ServerLimits(
+                BODY_LIMIT_BYTES,
+                idle_timeout_s=idle_timeout_s,
+                receive_buffer_bytes=16_384,
+            ),
             guard=self.guard,
         )
 
     async def _handle(self, received: ReceivedRequest) -> HttpResponse:
         self.handled += 1
+        self.held_bytes = self.guard.held_bytes
         return HttpResponse(200, (), self.answer)
 
     async def connect(
@@ -193,26 +211,123 @@
         writer.close()
 
 
+@pytest.mark.parametrize("draining_max", [64, 0])
 @run_async
-async def test_strangers_cannot_announce_large_frames() -> None:
-    """Guards against memory for frames before the sender is known."""
-    address = free_address()
-    guard = ListenerGuard()
-    server = FrameServer("secret", _NoHandler(), None, guard)
-    server.start_listening(address)
-    reader, writer = await asyncio.open_connection(*address.split(":"))
-    writer.write((4_097).to_bytes(4) + b"x")
-    async with asyncio.timeout(READ_LIMIT_S):
-        assert await reader.read() == b""
-    assert guard.connections == 0
-    writer.close()
-    server.close()
+async def test_few_refused_clients_are_read_on(
+    draining_max: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refused clients that stay, by the hundred."""
+    monkeypatch.setattr(listener_guard, "DRAINING_MAX", draining_max)
+    settings = GuardSettings(receive_budget_bytes=200_000)
+    async with listening(settings) as server:
+        reader, writer = await server.connect()
+        writer.write(LARGE + bytes(BODY_LIMIT_BYTES - 1))
+        async with asyncio.timeout(READ_LIMIT_S):
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read(1)
+        assert server.guard.connections == (1 if draining_max else 0)
+        writer.close()
+
+
+@run_async
+async def test_request_that_arrived_during_a_pause_is_served() -> None:
+    """Guards against refusals after the process was frozen."""
+    deadlines = RequestDeadlines(request_timeout_ms=1_900)
+    async with listening(GuardSettings(deadlines=deadlines)) as server:
+        reader, writer = await server.connect()
+        writer.write(REQUEST[:-1])
+        await asyncio.sleep(0.05)
+        writer.write(REQUEST[-1:])
+        stand_still(2.5)
+        async with asyncio.timeout(READ_LIMIT_S):
+            head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+
+@run_async
+async def test_own_descriptors_come_first() -> None:
+    """Guards against a leader that has no descriptors for its workers."""
+    used = len(os.listdir("/proc/self/fd"))
+    settings = GuardSettings(
+        file_descriptors=used + 60, reserved_descriptors=0
+    )
+    async with listening(settings) as server:
+        clients = [await server.connect() for _ in range(6)]
+        own = [os.open("/dev/null", os.O_RDONLY) for _ in range(100)]
+        try:
+            async with asyncio.timeout(READ_LIMIT_S):
+                for reader, _ in clients[:2]:
+                    assert await reader.read() == b""
+        finally:
+            for descriptor in own:
+                os.close(descriptor)
+        assert server.guard.connections == 4
+        for _, writer in clients:
+            writer.close()
+
 
+@run_async
+async def test_idle_connection_with_a_new_request_is_spared() -> None:
+    """Guards against a closed connection whose request has just arrived."""
+    guard = ListenerGuard(GuardSettings(connections_max=64))
+    pairs = [socket.socketpair() for _ in range(49)]
+    pairs[0][1].send(b"P")
+    streams = [IOStream(ours) for ours, _ in pairs]
+    for stream in streams:
+        guard.accept(stream, "a", ConnectionClass.CALLER, 60_000)
+    assert [stream.closed() for stream in streams[:3]] == [False, True, False]
+    for stream, (_, theirs) in zip(streams, pairs, strict=True):
+        stream.close()
+        theirs.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "held_bytes"),
+    [
+        (REQUEST.replace(b"\r\n\r\n", b"\r\na: b" * 1_000 + b"\r\n\r\n"), 2e5),
+        (LARGE + bytes(BODY_LIMIT_BYTES), 3 * BODY_LIMIT_BYTES),
+    ],
+    ids=["headers", "body"],
+)
+@run_async
+async def test_objects_of_a_request_count(
+    data: bytes, held_bytes: float
+) -> None:
+    """Guards against small data that takes much memory once it is read."""
+    async with listening(GuardSettings()) as server:
+        reader, writer = await server.connect()
+        writer.write(data)
+        async with asyncio.timeout(READ_LIMIT_S):
+            await reader.readuntil(b"answer")
+        assert server.held_bytes >= held_bytes
+        writer.close()
+
+
+def test_kernel_buffers_are_bounded() -> None:
+    """Guards against memory of the host for bytes that were not read."""
+
+    async def run() -> None:
+        async with listening(GuardSettings()) as server:
+            (listening_socket,) = server.listener._server._sockets.values()
+            size_bytes = listening_socket.getsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF
+            )
+            # The kernel doubles it.
+            assert size_bytes == 2 * 16_384
+
+    asyncio.run(run())
+
+
+class _WaitingHandler:
+    def __init__(self) -> None:
+        self.called = asyncio.Event()
 
-class _NoHandler:
     async def handle_call(
         self, group: str, body: bytes, deadline_unix_ms: int
     ) -> bytes:
+        self.called.set()
+        await asyncio.Event().wait()
         raise AssertionError
 
     def handle_replication_message(
@@ -221,6 +336,34 @@
         raise AssertionError
 
 
+@run_async
+async def test_frames_before_and_after_the_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against large frames of strangers, and uncounted calls."""
+    monkeypatch.setattr(frame_server, "HELLO_TIMEOUT_MS", 120_000)
+    address = free_address()
+    refusals: list[Refusal] = []
+    guard = ListenerGuard(report=refusals.append)
+    handler = _WaitingHandler()
+    server = FrameServer(CONTROL_GROUP, handler, None, guard)
+    server.start_listening(address)
+    call = Frame(FrameKind.CALL, call_id=1, group="g", body=bytes(100_000))
+    async with asyncio.timeout(READ_LIMIT_S):
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        writer.write((4_097).to_bytes(4) + b"x")
+        assert await reader.read() == b""
+        # The guard would close it as well, but only in time.
+        assert guard.connections == 0 and refusals == []
+        writer.close()
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        writer.write(HELLO + frame(call))
+        await handler.called.wait()
+        assert 100_000 <= guard.held_bytes < 120_000
+        writer.close()
+    server.close()
+
+
 def test_refusals_are_logged_once_a_second() -> None:
     """Guards against a log that hostile clients fill."""
     log = RefusalLog()
