--- a/bench/near_replays.py
+++ b/bench/near_replays.py
@@ -1,6 +1,7 @@
 """Decisions on near places: ``python -m bench.near_replays SEED...``.
 
-Prints the mean outcome of each decision on each load, in virtual time.
+Prints the mean outcome of each decision on each load, in virtual time. Names
+of loads among the arguments select these alone.
 """
 
 import collections
@@ -21,7 +22,15 @@
 from testing.dispatch.near_load import replay_near
 
 FULL_OF_WISHES = NearLoad("full-wishes", 1.0, wish=0.9)
-LOADS = (cases.CALM, cases.FULL, FULL_OF_WISHES, cases.HOT, cases.MILD)
+LOADS = (
+    cases.CALM,
+    cases.FULL,
+    FULL_OF_WISHES,
+    cases.HOT,
+    cases.MILD,
+    cases.SLOW,
+    cases.CUT_OFF,
+)
 
 
 def no_wait(choice: NearChoice) -> NearVerdict:
@@ -71,10 +80,13 @@
 
 def main() -> None:
     """Replay each load with each decision and the given seeds."""
-    seeds = [int(seed) for seed in sys.argv[1:]]
+    seeds = [int(item) for item in sys.argv[1:] if item.isdigit()]
+    names = set(sys.argv[1:]) & {load.name for load in LOADS}
     fields = [field.name for field in dataclasses.fields(NearOutcome)]
     print("load", "decision", *fields)
     for load in LOADS:
+        if names and load.name not in names:
+            continue
         for name, other in (
             ("fixed_penalty", None),
             ("no_wait", no_wait),
--- a/testing/dispatch/near_load.py
+++ b/testing/dispatch/near_load.py
@@ -1,6 +1,7 @@
 """Replay of jobs that want the workers of a rack, in virtual time."""
 
 import dataclasses
+import functools
 import random
 import statistics
 import zlib
@@ -47,6 +48,10 @@
         Share of the jobs that want the hot rack meanwhile.
     remote_factor : float
         Run time of a remote task, as a multiple.
+    hot_slowdown : float
+        Run time on the hot rack, as a multiple that the leader doesn't know.
+    cut_ms : int
+        How long the workers of the hot rack are cut off meanwhile.
     """
 
     name: str
@@ -54,6 +59,8 @@
     wish: float = 0.3
     hot: float = 0.0
     remote_factor: float = 2.0
+    hot_slowdown: float = 1.0
+    cut_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,9 +94,10 @@
             if wish:
                 starts[wish == rack] += 1
             remote = wish not in ("", rack)
-            return int(
-                near_run_ms(task) * (load.remote_factor if remote else 1)
-            )
+            factor = load.remote_factor if remote else 1.0
+            if rack == RACKS[0]:
+                factor *= load.hot_slowdown
+            return int(near_run_ms(task) * factor)
 
         worker.labels = ("kind", rack)
         worker.failure_ratio = 0.0
@@ -121,6 +129,16 @@
     steps_of: dict[str, int] = {}
     free: list[int] = []
     begin_ms = simulation.now_ms
+    hot = [w for w in simulation.workers.values() if RACKS[0] in w.labels]
+    for worker in hot if load.cut_ms else ():
+        simulation.at(
+            HOT_MS[0] + 2_000,
+            functools.partial(setattr, worker, "reachable", False),
+        )
+        simulation.at(
+            HOT_MS[0] + 2_000 + load.cut_ms,
+            functools.partial(setattr, worker, "reachable", True),
+        )
     due_ms = float(begin_ms)
     while due_ms < begin_ms + DAY_MS:
         simulation.run(max(0, int(due_ms) - simulation.now_ms))
--- a/testing/dispatch/test_near_waits.py
+++ b/testing/dispatch/test_near_waits.py
@@ -239,6 +239,8 @@
 FULL = NearLoad("full", 1.0)
 HOT = NearLoad("hot", 0.6, hot=0.6)
 MILD = NearLoad("hot-mild", 0.6, hot=0.6, remote_factor=1.5)
+SLOW = NearLoad("slow-rack", 0.6, hot=0.6, hot_slowdown=2.0)
+CUT_OFF = NearLoad("cut-off-rack", 0.6, hot=0.6, cut_ms=3_000)
 SEEDS = (1, 2, 3)
 Decision = Callable[[NearChoice], NearVerdict]
 
@@ -266,6 +268,8 @@
         (FULL, None, 0.05),
         (HOT, None, 0.15),
         (MILD, None, 0.0),
+        (SLOW, None, 0.05),
+        (CUT_OFF, None, 0.05),
         (MILD, fixed_wait, 0.02),
         (MILD, without_slack, -0.02),
     ],
