--- a/src/sardinespool/dispatch/near_waits.py
+++ b/src/sardinespool/dispatch/near_waits.py
@@ -27,7 +27,6 @@
 from sardinespool.dispatch.near_supply import slots_ever
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
-from sardinespool.dispatch.step_priority import objective_of
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import StepSpec
@@ -263,12 +262,11 @@
         tasks = len(step.waiting)
         forecast = dataclasses.replace(forecast, straggler_share=0.0)
         last_ms = forecast.last_of_ms(tasks)
-        scale = last_ms / spec.expected_run_ms if spec.expected_run_ms else 1.0
         late = forecast.last_of_ms(math.ceil(SURE_TASKS * tasks)) / last_ms
-        target_ms = queue.latency_objective_ms
-        objective_ms = target_ms + scale * (
-            objective_of(step, queue) - target_ms
-        )
+        scale = last_ms / spec.expected_run_ms if spec.expected_run_ms else 1.0
+        # The declared path, as `scale` already is what the forecast says.
+        path_ms = queue.stretch * step.workflow.critical_path_ms
+        objective_ms = queue.latency_objective_ms + scale * path_ms
         later_ms = scale * max(
             0, step.remaining_path_ms - spec.expected_run_ms
         )
