Bound the quota of a workspace by its own window

The time at which a quota is full again was taken over as it was stored. After a leader whose wall clock was ahead, or a manifest that raises the weight, all jobs of the workspace counted as in excess until that time had come: for an hour after a clock that was an hour ahead.

A stored time is now at most that of an empty quota at the present time and weight. It depends on the commands only, as before.

testing/dispatch/test_workspace_shares.py: 15 passed in 35 s; without the change, both cases of the new test fail.

--- a/src/sardinespool/workspaces/shares.py
+++ b/src/sardinespool/workspaces/shares.py
@@ -62,13 +62,21 @@
         A job in excess takes no token.
         """
         now_unix_us = now_unix_ms * 1_000
-        full_unix_us = max(now_unix_us, self.full_unix_us.get(workspace, 0))
         # Rounded up, as a weight above 1,000,000 would cost nothing.
         token_us = -(-1_000_000 // max(1, weight))
-        full_unix_us += token_us
-        if full_unix_us > (
+        empty_unix_us = (
             now_unix_us + QUOTA_WINDOW_MS * 1_000 + QUOTA_SLACK_JOBS * token_us
-        ):
+        )
+        # A bucket is never more than empty: an earlier leader's wall clock may
+        # have been ahead, and the weight lower.
+        full_unix_us = min(
+            max(now_unix_us, self.full_unix_us.get(workspace, 0)),
+            empty_unix_us,
+        )
+        # Stored also for a job in excess, so that tokens come back from now.
+        self.full_unix_us[workspace] = full_unix_us
+        full_unix_us += token_us
+        if full_unix_us > empty_unix_us:
             return True
         self.full_unix_us[workspace] = full_unix_us
         return False
--- a/testing/dispatch/test_workspace_shares.py
+++ b/testing/dispatch/test_workspace_shares.py
@@ -116,6 +116,25 @@
     assert not quotas.exceeds("a", 2, 2_000)
 
 
+@pytest.mark.parametrize(
+    ("weight", "now_ms"),
+    [
+        # The next leader's wall clock is an hour behind.
+        (2, 10_000_000 - 3_600_000),
+        # A manifest raises the weight.
+        (1_000, 10_000_000),
+    ],
+)
+def test_quota_recovers_from_a_clock_ahead_and_a_low_weight(
+    weight: int, now_ms: int
+) -> None:
+    """Guards against jobs in excess until an earlier time has come."""
+    quotas = JobQuotas()
+    assert any(quotas.exceeds("a", 2, 10_000_000) for _ in range(60))
+    quotas.exceeds("a", weight, now_ms)
+    assert not quotas.exceeds("a", weight, now_ms + 1_000)
+
+
 def starts_of(
     names: tuple[str, ...], workers: int, workspaces: bool
 ) -> list[str]:
