Start tasks on held workers if they fit on no other

A late trial holds its worker for up to 15 s. Short tasks never started there, so a job whose label, or free room, was only on held workers waited that long beside free room, and counted as lost after 3 s. Overdue long-running tasks could start there, but chose the emptiest worker, also if it was a held one.

Held workers are a group of their own in the placer. Starved steps (no run for 1.5 s while less than 0.6 of the fleet is reserved) and overdue ones choose among them if they fit on no other worker.

test_late_crashes.py, test_placer.py, test_crash_trials.py in testing/dispatch: 119 passed in 11 s; without the change, the two tests of held workers fail. The assertion on `_set_aside` now names the list that the held workers moved to.

--- a/src/sardinespool/dispatch/placer.py
+++ b/src/sardinespool/dispatch/placer.py
@@ -51,6 +51,9 @@
     set_aside : iterable of WorkerState
         Workers of the pool that were set aside, for steps without another
         worker.
+    held : iterable of WorkerState
+        Workers of the pool that late trials hold, for steps that have waited
+        and fit on no other worker.
     near : NearWaits or None
         Decides which tasks wait for the rack of their data; None if none do.
     """
@@ -61,8 +64,10 @@
         best_effort: BestEffortScorer,
         set_aside: Iterable[WorkerState] = (),
         near: NearWaits | None = None,
+        held: Iterable[WorkerState] = (),
     ) -> None:
         self._near = near
+        self._held = list(held)
         self._workers = list(workers)
         self._set_aside = list(set_aside)
         self._best_effort = best_effort
@@ -84,8 +89,8 @@
         step : StepRecord
             A ready step.
         starved : bool
-            Whether its best-effort tasks may start where they will be
-            throttled.
+            Whether its tasks may start on held workers, and best-effort ones
+            where they will be throttled.
         failed_workers : set of str
             Workers on which tasks of the step failed; chosen last.
         overdue : bool
@@ -93,14 +98,19 @@
             others.
         """
         spec = step.spec
+        groups = [self._workers + (self._set_aside if overdue else [])]
+        if overdue or starved:
+            groups.append(self._held)
         heap: list[tuple[float, int, WorkerState]] = []
-        workers = self._workers + (self._set_aside if overdue else [])
-        for position, worker in enumerate(workers):
-            score = self.score_worker(
-                step, worker, starved, failed_workers, overdue
-            )
-            if score is not None:
-                heap.append((-score, position, worker))
+        for workers in groups:
+            for position, worker in enumerate(workers):
+                score = self.score_worker(
+                    step, worker, starved, failed_workers, overdue
+                )
+                if score is not None:
+                    heap.append((-score, position, worker))
+            if heap:
+                break
         if self._near is not None and spec.gang:
             kept = set(
                 map(
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -131,8 +131,9 @@
         return Placer(
             self.workers_for_other_tasks(pool, free),
             self._best_effort,
-            self.workers_for_other_tasks(pool, [*set_aside, *held]),
+            self.workers_for_other_tasks(pool, set_aside),
             near,
+            self.workers_for_other_tasks(pool, held),
         )
 
     def has_other_waiting(self, step: StepRecord) -> bool:
--- a/testing/dispatch/test_late_crashes.py
+++ b/testing/dispatch/test_late_crashes.py
@@ -15,6 +15,7 @@
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
 from testing.dispatch.simulation import Simulation
+from testing.dispatch.support import add_running
 from testing.dispatch.support import make_step
 from testing.dispatch.support import make_worker
 from testing.dispatch.test_crash_trials import plan_trials
@@ -216,7 +217,32 @@
     workers[2].remove_run(planned[0][1])
     placer = planner.placer_of_other_tasks("pool", workers, [])
     assert [worker.worker_id for worker in placer._workers] == ["b", "c", "d"]
-    assert [worker.worker_id for worker in placer._set_aside] == ["a"]
+    assert [worker.worker_id for worker in placer._held] == ["a"]
+    # An overdue task takes the emptiest worker, but a held one last.
+    lasting = make_step(LASTING, "lasting")
+    add_running(workers[1], SPEC, "other")
+    chosen = placer.workers_for(lasting, False, set(), overdue=True)
+    assert next(chosen).worker_id != "a"
+
+
+def test_short_task_starts_although_its_only_worker_is_held() -> None:
+    """Guards against a wait of up to 15 s beside free room."""
+    simulation = make_simulation(1, 4, 10_000)
+    simulation.workers["w0"].labels += ("only",)
+    simulation.lead()
+    simulation.run(1_500)
+    spec = msgspec.structs.replace(SPEC, required_label="only")
+    simulation.crashing_tasks.add("job.0.0.0")
+    simulation.submit("job", spec)
+    task = simulation.machine.table.task("job.0.0.0")
+    assert task is not None
+    while not task.trial_run:
+        simulation.run(100)
+    simulation.run(1_000)
+    simulation.submit("short", spec)
+    simulation.run(2_500)
+    # Both the trial and the short task run.
+    assert len(simulation.workers["w0"].running) == 2
 
 
 @pytest.mark.parametrize("workers", [7, 30])
