Tell hosts apart by worker where none is reported

Workers may report no host. All of them then seemed to share the host "", so each crash without a long-running task, or two crashes under it, made its further crashes count as chance: a task that crashes its workers late was started without end.

The evidence and the choice of a worker for a trial use the id of a worker that reports no host.

test_crash_recorder.py, test_late_crashes.py, test_crash_trials.py in testing/dispatch: 114 passed in 11 s; without the change the new test fails.

--- a/src/sardinespool/dispatch/crash_recorder.py
+++ b/src/sardinespool/dispatch/crash_recorder.py
@@ -87,7 +87,7 @@
             return
         crash = Crash(
             worker.last_answer_boot_ms,
-            worker.description.host,
+            crash_trials.host_of(worker),
             {
                 crash_trials.unit_key(run.task): crash_trials.observed_age_ms(
                     worker, run
--- a/src/sardinespool/dispatch/crash_trials.py
+++ b/src/sardinespool/dispatch/crash_trials.py
@@ -77,6 +77,11 @@
     return f"{worker.worker_id}#{worker.description.incarnation}"
 
 
+def host_of(worker: WorkerState) -> str:
+    """Return the host of a worker; its id if it reports none."""
+    return worker.description.host or worker.worker_id
+
+
 def observed_age_ms(worker: WorkerState, run: RunState) -> int:
     """Return how long a run is known to have run, on the worker's clock."""
     if run.first_seen_clock_ms is None:
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -212,13 +212,13 @@
             crash_trials.unit_key(task)
         )
         has_other_hosts = any(
-            worker.description.host not in hosts for worker in workers
+            crash_trials.host_of(worker) not in hosts for worker in workers
         )
         best: (
             tuple[tuple[bool, bool, bool, int, float], WorkerState] | None
         ) = None
         for worker in workers:
-            is_repeated = worker.description.host in hosts
+            is_repeated = crash_trials.host_of(worker) in hosts
             if is_repeated and has_other_hosts and not is_overdue:
                 continue
             is_isolated = crash_trials.has_only_trials(
--- a/testing/dispatch/test_crash_recorder.py
+++ b/testing/dispatch/test_crash_recorder.py
@@ -1,16 +1,22 @@
 """Tests of the evidence that is collected when a worker's process ends."""
 
+import msgspec
 import pytest
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.crash_recorder import CrashRecorder
 from sardinespool.dispatch.crash_trials import Loss
 from sardinespool.dispatch.metrics import DispatchMetrics
+from sardinespool.dispatch.run_state import RunPhase
+from sardinespool.dispatch.run_state import RunState
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.observability.metrics import Metrics
 from testing.dispatch.support import add_running
+from testing.dispatch.support import make_step
 from testing.dispatch.support import make_worker
 
+LASTING = StepSpec(count=1, long_running=True)
+
 
 @pytest.mark.parametrize(
     ("other_answers", "is_crash"), [(False, False), (True, True)]
@@ -30,3 +36,23 @@
     recorder.note_silence(worker, Instant(1_000, 2_000))
     recorder.process_ended(worker, Loss.HOST_REUSED, 2)
     assert bool(run.crash) is is_crash
+
+
+def test_workers_without_a_host_do_not_share_one() -> None:
+    """Guards against a crashing task without end where no host is reported."""
+    recorder = CrashRecorder(DispatchMetrics(Metrics("controller", "a")))
+    task = make_step(LASTING).tasks[0]
+    for number in range(1, 5):
+        worker = make_worker(f"w{number}", 4_000)
+        worker.description = msgspec.structs.replace(
+            worker.description, host=""
+        )
+        worker.connection_closed = True
+        worker.last_answer_boot_ms = 10_000 * number
+        worker.last_seen_clock_ms = 6_000
+        run = RunState(task.key, number, task, RunPhase.RUNNING, 0)
+        run.first_seen_clock_ms = 0
+        worker.add_run(run)
+        recorder.process_ended(worker, Loss.RESTARTED, 7)
+        assert run.crash
+        task.crashed_runs |= {number}
