--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -131,8 +131,9 @@
         return Placer(
             self.workers_for_other_tasks(pool, free),
             self._best_effort,
-            self.workers_for_other_tasks(pool, [*set_aside, *held]),
+            self.workers_for_other_tasks(pool, set_aside),
             near,
+            self.workers_for_other_tasks(pool, held),
         )
 
     def has_other_waiting(self, step: StepRecord) -> bool:
@@ -211,13 +212,13 @@
             crash_trials.unit_key(task)
         )
         has_other_hosts = any(
-            worker.description.host not in hosts for worker in workers
+            crash_trials.host_of(worker) not in hosts for worker in workers
         )
         best: (
             tuple[tuple[bool, bool, bool, int, float], WorkerState] | None
         ) = None
         for worker in workers:
-            is_repeated = worker.description.host in hosts
+            is_repeated = crash_trials.host_of(worker) in hosts
             if is_repeated and has_other_hosts and not is_overdue:
                 continue
             is_isolated = crash_trials.has_only_trials(
