--- a/src/sardinespool/dispatch/answer_handler.py
+++ b/src/sardinespool/dispatch/answer_handler.py
@@ -366,18 +366,8 @@
             self._control.stop_run(worker, run, "not assigned")
             return
         if not run.listed:
-            run.listed = True
             self._begun_jobs.run_begun(worker, run, now)
-        if run.first_seen_clock_ms is None:
-            run.first_seen_clock_ms = clock_ms
-        if run.phase is RunPhase.ORDERED:
-            run.phase = RunPhase.RUNNING
-        if row.percent != run.percent:
-            run.percent = row.percent
-            run.progress_clock_ms = clock_ms
-        run.load = row.load
-        if row.checkpoint:
-            run.checkpoint = row.checkpoint
+        run.apply_row(row.percent, row.load, row.checkpoint, clock_ms)
 
     def _apply_ended_row(
         self,
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -377,12 +377,10 @@
         for job_id in result.ended_jobs:
             workflow = table.workflows[job_id]
             age_ms = now.unix_ms - workflow.accepted_unix_ms
-            ends = command.ends
-            failing_crash = run_log.find_failing_crash(table, workflow, ends)
-            self._metrics.job_ended(
-                workflow, age_ms, failed_by_crash=failing_crash is not None
+            by_crash = run_log.log_job_ended(
+                self._machine, workflow, command.ends, age_ms
             )
-            run_log.log_job_ended(self._machine, workflow, ends, age_ms)
+            self._metrics.job_ended(workflow, age_ms, failed_by_crash=by_crash)
             self.stop_job(job_id, f"job {workflow.state}")
         for worker, run in obsolete_runs.runs_of_broken_gangs(
             table, self.fleet, command.ends
--- a/src/sardinespool/dispatch/run_log.py
+++ b/src/sardinespool/dispatch/run_log.py
@@ -144,8 +144,14 @@
     workflow: WorkflowRecord,
     ends: tuple[RunEnd, ...],
     age_ms: int,
-) -> None:
-    """Log the end of a job, with the run that decided it if it failed."""
+) -> bool:
+    """Log the end of a job, with the run that decided it if it failed.
+
+    Returns
+    -------
+    bool
+        Whether the job failed by a crash.
+    """
     fields: dict[str, object] = dict(_workspace_field(workflow))
     failing_crash = find_failing_crash(machine.table, workflow, ends)
     if failing_crash is not None:
@@ -178,6 +184,7 @@
         age_ms=age_ms,
         **fields,
     )
+    return failing_crash is not None
 
 
 def log_unknown_result(
--- a/src/sardinespool/dispatch/run_state.py
+++ b/src/sardinespool/dispatch/run_state.py
@@ -190,6 +190,22 @@
             return not self.stop_confirmed
         return self.phase is RunPhase.ORDERED or self.pace != self.target_pace
 
+    def apply_row(
+        self, percent: int, load: int | None, checkpoint: str, clock_ms: int
+    ) -> None:
+        """Apply a row of the worker's list, read at a time of its clock."""
+        self.listed = True
+        if self.first_seen_clock_ms is None:
+            self.first_seen_clock_ms = clock_ms
+        if self.phase is RunPhase.ORDERED:
+            self.phase = RunPhase.RUNNING
+        if percent != self.percent:
+            self.percent = percent
+            self.progress_clock_ms = clock_ms
+        self.load = load
+        if checkpoint:
+            self.checkpoint = checkpoint
+
     def request_stop(self, reason: str) -> None:
         """Request a stop of the run; repeated calls have no effect."""
         if not self.stop_requested:
--- a/src/sardinespool/workflows/crash_evidence.py
+++ b/src/sardinespool/workflows/crash_evidence.py
@@ -4,6 +4,8 @@
 group decides alike.
 """
 
+from collections.abc import Iterable
+
 from sardinespool.messages.workflows import RunEnd
 from sardinespool.workflows.records import TaskRecord
 from sardinespool.workflows.records import TaskState
@@ -92,3 +94,25 @@
             or crash_count(task) > CRASHES_BEFORE_TRIAL_MAX
         )
     )
+
+
+def update_suspects(
+    suspects: dict[str, TaskRecord], tasks: Iterable[TaskRecord]
+) -> None:
+    """Add or remove tasks in the index of those that need a trial, by name."""
+    for task in tasks:
+        if needs_trial(task):
+            suspects[task.key] = task
+        else:
+            suspects.pop(task.key, None)
+
+
+def clear_other_suspects(
+    suspects: dict[str, TaskRecord], culprit: TaskRecord
+) -> None:
+    """Clear the other suspects of earlier crashes of a culprit."""
+    crashes = {member.suspected_crash for member in culprit.members}
+    for task in list(suspects.values()):
+        if task.suspected_crash in crashes - {""}:
+            task.suspected_crash = ""
+            update_suspects(suspects, task.members)
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -1,7 +1,6 @@
 """Table of the jobs of a group, changed only by committed commands."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from types import MappingProxyType
@@ -291,32 +290,17 @@
         """Record a crash, if any; return whether the job fails by it."""
         if crash_evidence.is_clearing(task, end):
             crash_evidence.clear_crashes(task, end.run)
-            self._update_suspects(task.members)
+            crash_evidence.update_suspects(self.suspects, task.members)
             return False
         if not end.crash or not crash_evidence.add_crashed_run(task, end):
             return False
         if crash_evidence.is_failed_trial(task, end):
-            self._clear_other_suspects(task)
+            crash_evidence.clear_other_suspects(self.suspects, task)
         if end.suspect:
             task.suspected_crash = end.crash
-        self._update_suspects(task.members)
+        crash_evidence.update_suspects(self.suspects, task.members)
         return crash_evidence.exceeds_crash_limit(task, end)
 
-    def _clear_other_suspects(self, culprit: TaskRecord) -> None:
-        """Clear the other suspects of earlier crashes of a culprit."""
-        crashes = {member.suspected_crash for member in culprit.members}
-        for task in list(self.suspects.values()):
-            if task.suspected_crash in crashes - {""}:
-                task.suspected_crash = ""
-                self._update_suspects(task.members)
-
-    def _update_suspects(self, tasks: Iterable[TaskRecord]) -> None:
-        for task in tasks:
-            if crash_evidence.needs_trial(task):
-                self.suspects[task.key] = task
-            else:
-                self.suspects.pop(task.key, None)
-
     def _unassign(self, task: TaskRecord) -> None:
         self.runs.remove(task)
         task.state = TaskState.WAITING
@@ -361,12 +345,13 @@
         workflow.ended_unix_ms = now_unix_ms
         self._update_waiting(workflow)
         self.unopened.pop(workflow.job_id, None)
-        self._update_suspects(
+        crash_evidence.update_suspects(
+            self.suspects,
             [
                 task
                 for task in self.suspects.values()
                 if task.step.workflow is workflow
-            ]
+            ],
         )
         for steps in workflow.occurrences.values():
             for step in steps:
