Count one task for a worker on probation in a rack

A gang that wants one rack was sent to a rack whose free room suffices. A worker on probation takes one finite run at a time, but counted with all its room. The gang then found no worker for its second member, was released, and got the same rack in each pass, also beside other racks with room.

Such a worker counts as one task.

testing/dispatch/test_near_waits.py -k "probation or gang": 6 passed; without the change, both cases of the new test fail.

--- a/src/sardinespool/dispatch/near_supply.py
+++ b/src/sardinespool/dispatch/near_supply.py
@@ -203,6 +203,10 @@
     if spec.tasks_per_worker_max:
         running = sum(run.step is step for run in worker.runs.values())
         slots = min(slots, max(0, spec.tasks_per_worker_max - running))
+    if worker.on_probation and not spec.long_running:
+        # `Placer` gives such a worker one finite run at a time. One that has
+        # a run is no candidate, so this one is the first.
+        slots = min(slots, 1)
     for need, free in (
         (spec.processors_millicores, millicores),
         (spec.memory_mb, memory_mb),
--- a/testing/dispatch/test_near_waits.py
+++ b/testing/dispatch/test_near_waits.py
@@ -237,6 +237,20 @@
     assert simulation.oracle.violations == []
 
 
+@pytest.mark.parametrize(
+    ("racks", "count"), [((NEAR, FAR), 3), ((NEAR, FAR, FAR), 6)]
+)
+def test_gang_starts_beside_a_worker_on_probation(
+    racks: tuple[str, ...], count: int
+) -> None:
+    """Guards against endless attempts on a worker that takes one task only."""
+    simulation, started = make_racks(2.0, *racks)
+    simulation.dispatcher.fleet.workers["w1"].on_probation = True
+    simulation.submit("gang", task(count, "", gang=True, same_rack=True))
+    simulation.run(2_500)
+    assert len(started) == count
+
+
 CALM = NearLoad("calm", 0.5)
 FULL = NearLoad("full", 1.0)
 HOT = NearLoad("hot", 0.6, hot=0.6)
