Hold short tasks back only for a long-running one that can fit

An overdue long-running task that waits for the limit of its workspace holds all other steps of the workspace back, so that the use falls. If the other long-running tasks alone leave it no room, the use never falls far enough, and every short job of the workspace waited for ever beside free room and limit.

The sums by workspace also tell what is long-running, and a task that would not fit beside those holds nothing back.

testing/dispatch/test_workspace_shares.py, test_workspace_limits.py and testing/workspaces, -k "lasting or held or limit": 34 passed in 20 s; without the change the new test fails (the short task does not start).

--- a/src/sardinespool/dispatch/workspace_holds.py
+++ b/src/sardinespool/dispatch/workspace_holds.py
@@ -6,8 +6,8 @@
 from sardinespool.dispatch.share_order import ShareOrder
 from sardinespool.dispatch.start_limits import StartLimits
 from sardinespool.workflows.records import StepRecord
-from sardinespool.workspaces.limits import can_ever_fit
 from sardinespool.workspaces.limits import limit_of
+from sardinespool.workspaces.limits import may_start
 from sardinespool.workspaces.usage import task_need
 
 
@@ -39,7 +39,9 @@
 
         While an overdue long-running task waits for the limit of its
         workspace, no other step of it starts: many small tasks would take
-        what becomes free, and the use would never fall below half.
+        what becomes free, and the use would never fall below half. If it
+        would not fit beside the other long-running tasks either, which go
+        on, the others start as before.
         """
         name = step.workflow.workspace
         workspace = self._limits.spec_of(step)
@@ -48,7 +50,8 @@
         held = name in self._reserved and not overdue
         if not held and not self._limits.may_start(step):
             held = True
-            if overdue and can_ever_fit(
+            if overdue and may_start(
+                self._limits.usage.long_running_of(name),
                 task_need(step.spec),
                 limit_of(workspace),
                 step.spec.count if step.spec.gang else 0,
--- a/src/sardinespool/workspaces/usage.py
+++ b/src/sardinespool/workspaces/usage.py
@@ -43,12 +43,17 @@
 
     def __init__(self) -> None:
         self._in_use: dict[str, Resources] = {}
+        self._long_running: dict[str, Resources] = {}
         self._tasks: dict[str, int] = {}
 
     def of(self, workspace: str) -> Resources:
         """Return what a workspace may have running."""
         return self._in_use.get(workspace, NOTHING)
 
+    def long_running_of(self, workspace: str) -> Resources:
+        """Return the part of it that does not end by itself."""
+        return self._long_running.get(workspace, NOTHING)
+
     def tasks_of(self, workspace: str) -> int:
         """Return the number of tasks that a workspace may have running."""
         return self._tasks.get(workspace, 0)
@@ -61,6 +66,10 @@
         """Count a task."""
         need = task_need(step)
         self._in_use[workspace] = self.of(workspace).plus(need)
+        if step.long_running:
+            self._long_running[workspace] = self.long_running_of(
+                workspace
+            ).plus(need)
         self._tasks[workspace] = self.tasks_of(workspace) + 1
 
     def remove(self, workspace: str, step: StepSpec) -> None:
@@ -69,12 +78,18 @@
         if count > 0:
             need = task_need(step)
             self._in_use[workspace] = self.of(workspace).plus(need, -1)
+            if step.long_running:
+                self._long_running[workspace] = self.long_running_of(
+                    workspace
+                ).plus(need, -1)
             self._tasks[workspace] = count
         else:
             self._in_use.pop(workspace, None)
+            self._long_running.pop(workspace, None)
             self._tasks.pop(workspace, None)
 
     def clear(self) -> None:
         """Stop counting all tasks."""
         self._in_use.clear()
+        self._long_running.clear()
         self._tasks.clear()
--- a/testing/dispatch/test_workspace_shares.py
+++ b/testing/dispatch/test_workspace_shares.py
@@ -247,6 +247,29 @@
     assert simulation.oracle.excesses == []
 
 
+def test_short_tasks_start_beside_a_lasting_one_that_can_not() -> None:
+    """Guards against a workspace whose short jobs are held back for ever."""
+    simulation = WorkspaceSimulation(7, workers=6)
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: 600_000
+    simulation.publish(workspace("a", 4_000))
+    simulation.run(1_500)
+    lasting = StepSpec(
+        count=1, processors_millicores=2_500, memory_mb=1, long_running=True
+    )
+    for name in ("first", "second"):
+        simulation.submit_to("a", name, lasting)
+        simulation.run(5_500)
+    simulation.submit_to(
+        "a", "short", StepSpec(count=1, processors_millicores=500, memory_mb=1)
+    )
+    simulation.run(2_500)
+    (step,) = simulation.machine.table.workflows["short"].occurrences[0]
+    assert step.tasks[0].run
+    assert simulation.oracle.excesses == []
+
+
 def test_operators_see_which_workspace_is_held_back() -> None:
     """Guards against jobs that wait for a limit or share unexplained."""
     simulation = WorkspaceSimulation(3, workers=2)
