Refuse a gang that is larger than its workspace's limit

They were accepted, and no pass could ever start them, as the limit of a gang has no exception.

The leader checks the gangs of a new job against the limit in force. A limit that falls later leaves the job waiting.

testing/workflows, testing/store/test_withdrawn_keys.py, testing/platform/test_handlers.py, testing/dispatch/test_admission.py: 361 passed in 7 s; without the change the refused case of the new test fails.

--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -52,6 +52,7 @@
 from sardinespool.workflows.authorization import workspace_of_job
 from sardinespool.workflows.manifest import check_manifest
 from sardinespool.workflows.records import WorkflowRecord
+from sardinespool.workflows.validation import check_gangs
 from sardinespool.workflows.validation import check_spec
 
 JOB_ID_LENGTH_MAX = 64
@@ -224,13 +225,17 @@
             check_owner(manifest, queue, caller, stored)
             return ImmediateReply(status_of(stored))
         check_spec(request.spec)
+        name = workspace_of_job(queue, caller)
+        workspace = manifest.workspaces_by_name.get(name)
+        if workspace is not None:
+            check_gangs(request.spec, workspace)
         self._admission.check(job_id, queue, request.spec, now)
         return Proposal(
             AcceptWorkflow(
                 job_id=job_id,
                 queue=queue.name,
                 spec=request.spec,
-                workspace=workspace_of_job(queue, caller),
+                workspace=name,
                 key_digest=request.key_digest,
             )
         )
--- a/src/sardinespool/workflows/validation.py
+++ b/src/sardinespool/workflows/validation.py
@@ -1,8 +1,12 @@
 """Validation of submitted jobs."""
 
 from sardinespool.errors.tasks import InvalidJobError
+from sardinespool.messages.manifest import WorkspaceSpec
 from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import WorkflowSpec
+from sardinespool.workspaces.limits import can_ever_fit
+from sardinespool.workspaces.limits import limit_of
+from sardinespool.workspaces.usage import task_need
 
 TASKS_MAX = 20_000
 """Limit of the tasks of a job; bounds the memory of one submission."""
@@ -27,6 +31,27 @@
         _check_step(step, position)
 
 
+def check_gangs(spec: WorkflowSpec, workspace: WorkspaceSpec) -> None:
+    """Raise `InvalidJobError` if a gang can never fit its workspace's limit.
+
+    Parameters
+    ----------
+    spec : WorkflowSpec
+        Submitted job.
+    workspace : WorkspaceSpec
+        Its workspace.
+    """
+    for position, step in enumerate(spec.steps):
+        if step.gang and not can_ever_fit(
+            task_need(step), limit_of(workspace), step.count
+        ):
+            raise InvalidJobError(
+                "A gang is larger than the limit of its workspace.",
+                step=position,
+                workspace=workspace.name,
+            )
+
+
 def _check_step(step: StepSpec, position: int) -> None:
     sizes = (
         step.processors_millicores,
--- a/testing/workflows/test_authorization.py
+++ b/testing/workflows/test_authorization.py
@@ -10,7 +10,9 @@
 from sardinespool.messages.workflows import CancelWorkflow
 from sardinespool.messages.workflows import CountWaiting
 from sardinespool.messages.workflows import ReadWorkflow
+from sardinespool.messages.workflows import StepSpec
 from sardinespool.messages.workflows import UNREADABLE_KEY
+from sardinespool.messages.workflows import WorkflowSpec
 from testing.workflows.workspaces import code_of
 from testing.workflows.workspaces import Control
 from testing.workflows.workspaces import digest
@@ -215,3 +217,30 @@
     control.apply(commands[0])
     assert code_of(lambda: control.apply(commands[1])) == OTHER
     assert control.workspace("job") == "ana"
+
+
+@pytest.mark.parametrize(
+    ("count", "gang", "queue", "answer"),
+    [
+        (3, True, "closed", "invalid-job"),
+        (2, True, "closed", "ok"),
+        (3, False, "closed", "ok"),
+        (3, True, "open", "ok"),
+    ],
+)
+def test_gang_above_the_limit_is_refused(
+    count: int, gang: bool, queue: str, answer: str
+) -> None:
+    """Guards against an accepted gang that can never start."""
+    manifest = make_manifest(1, ana="ana1")
+    assert manifest.workspaces is not None
+    limited = msgspec.structs.replace(
+        manifest.workspaces[0], processors_millicores_max=1_000
+    )
+    control = Control(msgspec.structs.replace(manifest, workspaces=(limited,)))
+    step = StepSpec(count=count, processors_millicores=500, gang=gang)
+    request = msgspec.structs.replace(
+        submit(f"/{queue}/job", "ana1"),
+        spec=WorkflowSpec(payload="", steps=(step,)),
+    )
+    assert code_of(lambda: control.call(request)) == answer
