Leave the outcome open if a gang is refused on a second attempt

The refusal of a gang above its workspace's limit depends on the manifest in force. If a first attempt was sent and the limit fell before the second, the caller was told with 400 that nothing ran, while the first may be committed.

--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -83,3 +83,7 @@
     """No worker that is known now can hold a task of the job."""
 
     http_status = 503
+
+
+class GangTooLargeError(TaskError):
+    """A gang needs more than the limit of its workspace."""
--- a/src/sardinespool/workflows/validation.py
+++ b/src/sardinespool/workflows/validation.py
@@ -1,5 +1,6 @@
 """Validation of submitted jobs."""
 
+from sardinespool.errors.tasks import GangTooLargeError
 from sardinespool.errors.tasks import InvalidJobError
 from sardinespool.messages.manifest import WorkspaceSpec
 from sardinespool.messages.workflows import StepSpec
@@ -32,7 +33,7 @@
 
 
 def check_gangs(spec: WorkflowSpec, workspace: WorkspaceSpec) -> None:
-    """Raise `InvalidJobError` if a gang can never fit its workspace's limit.
+    """Raise `GangTooLargeError` if a gang can never fit its workspace's limit.
 
     Parameters
     ----------
@@ -45,7 +46,7 @@
         if step.gang and not can_ever_fit(
             task_need(step), limit_of(workspace), step.count
         ):
-            raise InvalidJobError(
+            raise GangTooLargeError(
                 "A gang is larger than the limit of its workspace.",
                 step=position,
                 workspace=workspace.name,
--- a/testing/transport/test_frames.py
+++ b/testing/transport/test_frames.py
@@ -14,6 +14,7 @@
 from sardinespool.errors.replication import GroupUnavailableError
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.replication import ProposalLostError
+from sardinespool.errors.tasks import GangTooLargeError
 from sardinespool.errors.tasks import JobNotFoundError
 from sardinespool.errors.tasks import OtherWorkspaceError
 from sardinespool.errors.tasks import OverloadedError
@@ -204,6 +205,7 @@
         ([UnknownWorkspaceKeyError("Withdrawn.")], None),
         ([ProposalLostError("x"), UnknownWorkspaceKeyError("x")], True),
         ([ProposalLostError("x"), OtherWorkspaceError("x")], True),
+        ([ProposalLostError("x"), GangTooLargeError("x")], True),
         ([ProposalLostError("x"), QueueNotFoundError("x")], True),
         ([OverloadedError("Late.")], None),
         ([ProposalLostError("Lapsed."), OverloadedError("Late.")], True),
@@ -216,6 +218,7 @@
         "first-key",
         "key-after-lapse",
         "owner-after-lapse",
+        "gang-after-lapse",
         "queue-after-lapse",
         "overloaded",
         "overloaded-after-lapse",
