Explain where a job would start without submitting it

Callers and operators could learn only from a submission where a job starts, and from logs and dumps why it waits. `ExplainPlacement` makes the checks of a submission on a copy of the admission state and runs one pass of the planner on copies of the workers, so that the answer has no effect and no log entry. `Dispatcher.planner` is public for this; one test and two benchmarks follow.

--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -117,8 +117,8 @@
         for workflow, predicted in zip(workflows, learned, strict=True):
             workflow.predicted = predicted if with_learned else None
         begin = time.perf_counter()
-        dispatcher._planner.request_pass()
-        dispatcher._planner.assign(now_after(number))
+        dispatcher.planner.request_pass()
+        dispatcher.planner.assign(now_after(number))
         times_ms[with_learned].append(1_000 * (time.perf_counter() - begin))
     middle = {key: statistics.median(item) for key, item in times_ms.items()}
     print(f"planning pass, declared times: {middle[False]:.2f} ms")
--- a/bench/workspace_cost.py
+++ b/bench/workspace_cost.py
@@ -142,7 +142,7 @@
 
 def time_pass(dispatcher: Dispatcher) -> tuple[float, int]:
     """Return the processor time of a pass in ms, and its starts."""
-    planner = dispatcher._planner
+    planner = dispatcher.planner
     planner.request_pass()
     begin_ns = time.process_time_ns()
     assignments, planned = planner.assign(NOW)
--- a/src/sardinespool/dispatch/admission.py
+++ b/src/sardinespool/dispatch/admission.py
@@ -15,6 +15,9 @@
 The state is held by the leader. The next one accepts until it knows the load.
 """
 
+import copy
+import sys
+
 from sardinespool.clock import Instant
 from sardinespool.dispatch.class_load import LoadMeter
 from sardinespool.dispatch.job_paths import paths_of
@@ -78,6 +81,16 @@
         self._returns = Returns()
         self._proposed: dict[str, int] = {}
 
+    def copy(self, refused_jobs: Counter) -> "Admission":
+        """Return a copy that logs nothing, to check a job without effects."""
+        admission = copy.copy(self)
+        admission._meter = self._meter.copy()
+        admission._refused_jobs = refused_jobs
+        admission._returns = copy.deepcopy(self._returns)
+        admission._proposed = dict(self._proposed)
+        admission._log_due_boot_ms = sys.maxsize
+        return admission
+
     def begin(self, now: Instant) -> None:
         """Forget the load that an earlier leadership has seen."""
         self._meter.reset()
--- a/src/sardinespool/dispatch/best_effort.py
+++ b/src/sardinespool/dispatch/best_effort.py
@@ -59,6 +59,13 @@
         self._contention: dict[str, float] = {}
         self._now_boot_ms = 0
 
+    def copy(self) -> "BestEffortScorer":
+        """Return a copy for another pass on the same workers."""
+        scorer = BestEffortScorer(self._model)
+        scorer._explored_pairs.update(self._explored_pairs)
+        scorer._explored_workers.update(self._explored_workers)
+        return scorer
+
     def begin_pass(
         self, waiting_share: Mapping[str, float], now_boot_ms: int
     ) -> None:
--- a/src/sardinespool/dispatch/class_load.py
+++ b/src/sardinespool/dispatch/class_load.py
@@ -6,6 +6,7 @@
 one at which they have been served lately.
 """
 
+import copy
 import dataclasses
 
 from sardinespool.clock import Instant
@@ -154,6 +155,15 @@
         self._waiting_since: dict[tuple[str, int, int], int] = {}
         self._refreshed_boot_ms: int | None = None
 
+    def copy(self) -> "LoadMeter":
+        """Return a copy whose changes leave this one as it is."""
+        meter = LoadMeter(self._machine, self._fleet)
+        meter._loads = copy.deepcopy(self._loads)
+        meter._largest = copy.deepcopy(self._largest)
+        meter._waiting_since = dict(self._waiting_since)
+        meter._refreshed_boot_ms = self._refreshed_boot_ms
+        return meter
+
     def load_of(self, queue: QueueSpec, step: StepSpec) -> ClassLoad:
         """Return the load of the class of a step, as of the last refresh."""
         return self._load(queue.pool, step.uses_leftover_processors)
--- a/src/sardinespool/dispatch/congestion_log.py
+++ b/src/sardinespool/dispatch/congestion_log.py
@@ -59,3 +59,15 @@
                     queue=name,
                     waiting_jobs=waiting_jobs.get(name, 0),
                 )
+
+
+class UnloggedCongestion(CongestionLog):
+    """Stands for the log in a pass whose plan is not carried out."""
+
+    def update(
+        self,
+        congested: Collection[str],
+        waiting_jobs: Mapping[str, int],
+        now: Instant,
+    ) -> None:
+        """Do nothing."""
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -8,7 +8,9 @@
 from sardinespool.dispatch.admission import Admission
 from sardinespool.dispatch.class_load import LoadMeter
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.order_tickets import OrderTickets
+from sardinespool.dispatch.placement_explanation import explain_placement
 from sardinespool.dispatch.report_check import check_report
 from sardinespool.errors.tasks import InvalidJobError
 from sardinespool.errors.tasks import JobGoneError
@@ -22,6 +24,8 @@
 from sardinespool.messages.commands import CommandBody
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
+from sardinespool.messages.explain import ExplainPlacement
+from sardinespool.messages.explain import PlacementExplanation
 from sardinespool.messages.manifest import ManifestCopy
 from sardinespool.messages.manifest import MemberList
 from sardinespool.messages.manifest import PublishManifest
@@ -45,6 +49,7 @@
 from sardinespool.messages.workflows import WaitingCount
 from sardinespool.messages.workflows import WorkflowStatus
 from sardinespool.observability.logs import get_logger
+from sardinespool.observability.metrics import Metrics
 from sardinespool.replication.identity import member_name
 from sardinespool.replication.status import ReplicaStatus
 from sardinespool.workflows.authorization import check_owner
@@ -151,6 +156,8 @@
             case DumpState():
                 state = msgspec.json.encode(self._dump())
                 return ImmediateReply(StateDump(json=state))
+            case ExplainPlacement():
+                return ImmediateReply(self._explain(request, now))
             case ReadMembers():
                 return ImmediateReply(self._member_list())
             case _:
@@ -215,6 +222,41 @@
     def _submit(
         self, request: SubmitWorkflow, now: Instant
     ) -> ImmediateReply | Proposal:
+        outcome = self._check_submission(request, self._admission, now)
+        if isinstance(outcome, WorkflowRecord):
+            return ImmediateReply(status_of(outcome))
+        return Proposal(outcome)
+
+    def _explain(
+        self, request: ExplainPlacement, now: Instant
+    ) -> PlacementExplanation:
+        metrics = DispatchMetrics(Metrics("explanation", ""))
+        admission = self._admission.copy(metrics.refused_jobs)
+        outcome = self._check_submission(request, admission, now)
+        if isinstance(outcome, WorkflowRecord):
+            explained: dict[str, object] = {
+                "job": outcome.job_id,
+                "stored_state": outcome.state,
+                "steps": [],
+            }
+        else:
+            explained = explain_placement(
+                outcome,
+                self._machine,
+                self._dispatcher.fleet,
+                self._dispatcher.planner,
+                metrics,
+                now,
+            )
+        return PlacementExplanation(json=msgspec.json.encode(explained))
+
+    def _check_submission(
+        self,
+        request: SubmitWorkflow | ExplainPlacement,
+        admission: Admission,
+        now: Instant,
+    ) -> WorkflowRecord | AcceptWorkflow:
+        """Return the job if it is stored, else the command to store it."""
         manifest = self._machine.manifest
         queue, job_id = manifest.resolve(request.host, request.path)
         caller = find_caller(manifest, queue, request.key_digest)
@@ -222,17 +264,15 @@
         stored = self._machine.table.workflows.get(job_id)
         if stored is not None:
             check_owner(manifest, queue, caller, stored)
-            return ImmediateReply(status_of(stored))
+            return stored
         check_spec(request.spec)
-        self._admission.check(job_id, queue, request.spec, now)
-        return Proposal(
-            AcceptWorkflow(
-                job_id=job_id,
-                queue=queue.name,
-                spec=request.spec,
-                workspace=workspace_of_job(queue, caller),
-                key_digest=request.key_digest,
-            )
+        admission.check(job_id, queue, request.spec, now)
+        return AcceptWorkflow(
+            job_id=job_id,
+            queue=queue.name,
+            spec=request.spec,
+            workspace=workspace_of_job(queue, caller),
+            key_digest=request.key_digest,
         )
 
     def _workflow(
--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -89,7 +89,7 @@
             self,
         )
         near = NearWaits(machine, self.estimates, settings, metrics)
-        self._planner = Planner(
+        self.planner = Planner(
             machine, self.fleet, settings, model, self.health, near
         )
         self.orders = OrderQueue(self.fleet, settings)
@@ -101,7 +101,7 @@
 
     def describe_workspaces(self) -> dict[str, object]:
         """Return use, limit, share and waiting steps by workspace."""
-        return self._planner.workspace_log.describe()
+        return self.planner.workspace_log.describe()
 
     @property
     def has_work(self) -> bool:
@@ -160,7 +160,7 @@
 
     def job_accepted(self) -> None:
         """Request a planning pass for a newly accepted job."""
-        self._planner.request_pass()
+        self.planner.request_pass()
 
     def worker_left(self, worker_id: str) -> None:
         """Remove a worker that announced its shutdown and end its runs."""
@@ -304,12 +304,12 @@
             return self._proposed
         self._answers.expire_leases(now)
         cancel_excess_starts(self.fleet, self, now)
-        self._planner.vacate_draining_workers(now, self)
-        self._planner.rebalancer.rebalance(now, self)
+        self.planner.vacate_draining_workers(now, self)
+        self.planner.rebalancer.rebalance(now, self)
         ends = self._ends.take()
-        assignments, self._planned_runs = self._planner.assign(now)
-        opened = self._planner.due_occurrences(now)
-        forgotten = self._planner.forgotten_jobs(now)
+        assignments, self._planned_runs = self.planner.assign(now)
+        opened = self.planner.due_occurrences(now)
+        forgotten = self.planner.forgotten_jobs(now)
         self._run_checks.run_if_due(
             self._machine.table, self.fleet.workers, self._ends, now
         )
@@ -343,8 +343,8 @@
         if command is None:
             return
         self._proposed = None
-        self._planner.request_pass()
-        self._planner.write_metrics(self._metrics, now)
+        self.planner.request_pass()
+        self.planner.write_metrics(self._metrics, now)
         self._ends.remove_committed_runs()
         self._acknowledge_listed_ends()
         for position, (worker, run) in enumerate(self._planned_runs):
@@ -398,5 +398,5 @@
         self._ends.reset()
         self._begun_jobs.reset()
         self._planned_runs = []
-        self._planner.reset()
+        self.planner.reset()
         self.health.reset()
--- a/src/sardinespool/dispatch/near_waits.py
+++ b/src/sardinespool/dispatch/near_waits.py
@@ -71,14 +71,29 @@
         metrics: DispatchMetrics,
     ) -> None:
         self._machine = machine
+        self._settings = settings
         self._factor = settings.remote_factor
         self._metrics = metrics
+        self._logs = True
         self._since: dict[StepKey, int] = {}
         self._logged: dict[StepKey, int] = {}
         self._estimates = estimates
         self._now = Instant(0, 0)
         self._supply = NearSupply(estimates.run_times)
 
+    def copy(
+        self, machine: ControlMachine, metrics: DispatchMetrics
+    ) -> "NearWaits":
+        """Return a copy for another pass, which writes no log lines."""
+        near = NearWaits(machine, self._estimates, self._settings, metrics)
+        near._since.update(self._since)
+        near._logs = False
+        return near
+
+    def is_waiting(self, step: StepRecord) -> bool:
+        """Return whether a step waits for a near worker."""
+        return step.key in self._since
+
     def reset(self) -> None:
         """Forget the waits of an earlier leadership."""
         self._since.clear()
@@ -238,11 +253,12 @@
             if step.key not in self._since:
                 self._since[step.key] = self._now.boot_ms
                 self._metrics.near_waiting_steps.set(len(self._since))
-                _log_choice("waits for a near worker", step, rack, choice)
+                if self._logs:
+                    _log_choice("waits for a near worker", step, rack, choice)
             return True
         self._metrics.near_starts.inc(place="remote", reason=verdict.name)
         # One line for the remote starts of a step in a pass.
-        if self._logged.get(step.key) != self._now.boot_ms:
+        if self._logs and self._logged.get(step.key) != self._now.boot_ms:
             self._logged[step.key] = self._now.boot_ms
             _log_choice(
                 "starts on a remote worker", step, rack, choice, verdict.value
@@ -290,6 +306,8 @@
         """Forget the wait of a step without waiting tasks."""
         waited_ms = self._now.boot_ms - self._since.pop(key)
         self._metrics.near_waiting_steps.set(len(self._since))
+        if not self._logs:
+            return
         _LOG.info(
             "wait for a near worker ended",
             job=key[0],
--- a/src/sardinespool/dispatch/placement_order.py
+++ b/src/sardinespool/dispatch/placement_order.py
@@ -7,6 +7,7 @@
 
 from sardinespool.clock import Instant
 from sardinespool.dispatch.congestion_log import CongestionLog
+from sardinespool.dispatch.congestion_log import UnloggedCongestion
 from sardinespool.dispatch.fleet import Fleet
 from sardinespool.dispatch.share_order import ShareOrder
 from sardinespool.dispatch.step_priority import congested_queues
@@ -59,6 +60,18 @@
         self.congestion = CongestionLog()
         self.shares = ShareOrder(machine, fleet.limits)
 
+    def copy(self, machine: ControlMachine, fleet: Fleet) -> "PlacementOrder":
+        """Return a copy for another pass, which writes no log lines."""
+        order = PlacementOrder(machine, fleet)
+        order._waiting_since.update(self._waiting_since)
+        order.congestion = UnloggedCongestion()
+        order.shares.lacked_room = self.shares.lacked_room
+        return order
+
+    def skip_batch_window(self, step: StepRecord, now: Instant) -> None:
+        """Let a serving step not wait for others of its image."""
+        self._waiting_since[step.key] = now.boot_ms - SERVING_BATCH_WINDOW_MS
+
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._waiting_since.clear()
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -21,6 +21,7 @@
 from sardinespool.dispatch.trial_planner import TrialPlanner
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.dispatch.workspace_holds import WorkspaceHolds
+from sardinespool.dispatch.workspace_log import UnloggedHolds
 from sardinespool.dispatch.workspace_log import WorkspaceLog
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.workflows import Assignment
@@ -61,6 +62,8 @@
 
     Attributes
     ----------
+    near : NearWaits
+        Tasks that wait for a worker near their data.
     rebalancer : Rebalancer
         Moves throttled best-effort tasks.
     order : PlacementOrder
@@ -79,7 +82,7 @@
         near: NearWaits,
     ) -> None:
         self._health = health
-        self._near = near
+        self.near = near
         self._model = model
         self._best_effort = BestEffortScorer(model)
         self._trials = TrialPlanner(machine, fleet, self._best_effort)
@@ -95,13 +98,45 @@
             machine, fleet.limits, self.order.shares
         )
 
+    def copy(
+        self,
+        machine: ControlMachine,
+        fleet: Fleet,
+        metrics: DispatchMetrics,
+    ) -> "Planner":
+        """Return a planner of one pass on copies of the state."""
+        planner = Planner(
+            machine,
+            fleet,
+            self._settings,
+            self._model,
+            self._health,
+            self.near.copy(machine, metrics),
+        )
+        planner._best_effort = self._best_effort.copy()
+        planner._trials = self._trials.copy(
+            machine, fleet, planner._best_effort
+        )
+        planner.order = self.order.copy(machine, fleet)
+        planner.workspace_log = UnloggedHolds(
+            machine, fleet.limits, planner.order.shares
+        )
+        return planner
+
+    def placer_of(
+        self, pool: str, workers: list[WorkerState]
+    ) -> tuple[list[WorkerState], Placer]:
+        """Return the workers that trials leave free, and their placer."""
+        free = self._trials.workers_for_other_tasks(pool, workers)
+        return free, Placer(free, self._best_effort)
+
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._cleanup_due_boot_ms = 0
         self._pass_due_boot_ms = 0
         self._best_effort_due_boot_ms = 0
         self._trials.reset()
-        self._near.reset()
+        self.near.reset()
         self.order.reset()
         self.workspace_log.reset()
 
@@ -127,7 +162,7 @@
                 (), self._machine.table.waiting_counts(), now
             )
             self.workspace_log.update(None, now)
-        self._near.retain(ready, now)
+        self.near.retain(ready, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
         candidates: dict[str, list[WorkerState]] = {}
@@ -146,14 +181,14 @@
         self._best_effort.begin_pass(
             best_effort_demand(ready.values()), now.boot_ms
         )
-        self._near.begin_pass(ready, candidates, now)
+        self.near.begin_pass(ready, candidates, now)
         planned = self._trials.place(candidates, set_aside, now)
         placers = {
             pool: self._trials.placer_of_other_tasks(
                 pool,
                 candidates.get(pool, ()),
                 set_aside.get(pool, ()),
-                self._near,
+                self.near,
             )
             for pool in candidates.keys() | set_aside.keys()
         }
@@ -338,5 +373,5 @@
                 worker.remove_run(run)
             return []
         if step.spec.gang and planned:
-            self._near.gang_started(planned)
+            self.near.gang_started(planned)
         return planned
--- a/src/sardinespool/dispatch/trial_planner.py
+++ b/src/sardinespool/dispatch/trial_planner.py
@@ -53,6 +53,17 @@
         self._reserving_pools: set[str] = set()
         self.suspects: set[str] = set()
 
+    def copy(
+        self,
+        machine: ControlMachine,
+        fleet: Fleet,
+        best_effort: BestEffortScorer,
+    ) -> "TrialPlanner":
+        """Return a copy that plans on other workers."""
+        planner = TrialPlanner(machine, fleet, best_effort)
+        planner._waiting_since.update(self._waiting_since)
+        return planner
+
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._waiting_since.clear()
--- a/src/sardinespool/dispatch/worker_state.py
+++ b/src/sardinespool/dispatch/worker_state.py
@@ -1,5 +1,7 @@
 """State of one worker, as known to the leader."""
 
+import copy
+
 from sardinespool.dispatch.run_state import RunState
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.dispatch.worker_clock import WorkerClock
@@ -133,6 +135,19 @@
         self.best_effort_use: dict[str, float] = {}
         self.pace_changed_boot_ms = 0
 
+    def copy(self, usage: WorkspaceUsage) -> "WorkerState":
+        """Return a copy for planning only, whose runs count in `usage`."""
+        worker = copy.copy(self)
+        worker._usage = usage
+        worker.runs = {key: copy.copy(run) for key, run in self.runs.items()}
+        worker.trials = {
+            key: worker.runs.get(key, run) for key, run in self.trials.items()
+        }
+        worker.pending = dict(self.pending)
+        worker.serving_images = dict(self.serving_images)
+        worker.best_effort_use = dict(self.best_effort_use)
+        return worker
+
     @property
     def reference_millicores(self) -> int:
         """Processors that shares of the worker refer to, at least 1.
--- a/src/sardinespool/dispatch/workspace_log.py
+++ b/src/sardinespool/dispatch/workspace_log.py
@@ -142,3 +142,10 @@
                 return "other"
             self._labels.add(name)
         return name
+
+
+class UnloggedHolds(WorkspaceLog):
+    """Stands for the log in a pass whose plan is not carried out."""
+
+    def update(self, holds: WorkspaceHolds | None, now: Instant) -> None:
+        """Do nothing."""
--- a/src/sardinespool/messages/codec.py
+++ b/src/sardinespool/messages/codec.py
@@ -24,6 +24,8 @@
 from sardinespool.messages.decoding import decode
 from sardinespool.messages.dump import DumpState
 from sardinespool.messages.dump import StateDump
+from sardinespool.messages.explain import ExplainPlacement
+from sardinespool.messages.explain import PlacementExplanation
 from sardinespool.messages.jobs import CancelJob
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import JobList
@@ -96,6 +98,7 @@
     | FinishRequest
     | AbandonRequest
     | DumpState
+    | ExplainPlacement
     | SubmitWorkflow
     | ReadWorkflow
     | CancelWorkflow
@@ -128,6 +131,7 @@
     | BeginReply
     | Accepted
     | StateDump
+    | PlacementExplanation
     | WorkflowStatus
     | WaitingCount
     | RunsRecorded
--- a/testing/dispatch/test_workspace_shares.py
+++ b/testing/dispatch/test_workspace_shares.py
@@ -252,7 +252,7 @@
     simulation.publish(workspace("a", 2_000), workspace("b", weight=3))
     simulation.run(1_500)
     metrics = Metrics("controller", "a")
-    planner = simulation.dispatcher._planner
+    planner = simulation.dispatcher.planner
     spec = StepSpec(count=30, processors_millicores=500, memory_mb=1)
     for name in "ab":
         simulation.submit_to(name, f"job{name}", spec)
