--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -9,7 +9,9 @@
 from sardinespool.observability.metrics import Metrics
 from sardinespool.observability.status_server import StatusServer
 from sardinespool.platform.control_handler import ControlHandler
+from sardinespool.platform.explain_handler import ExplainHandler
 from sardinespool.platform.fault_barrier import FaultBarrier
+from sardinespool.platform.job_codec import JOB_BODY_LIMIT_BYTES
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.platform.worker_client import WorkerClient
 from sardinespool.programs.controller.control_member import ControlGroupMember
@@ -101,7 +103,12 @@
             guard=self._guard,
         )
         status_server = StatusServer(
-            status_listener(self._settings.status_address, self._guard),
+            status_listener(
+                self._settings.status_address,
+                self._guard,
+                FaultBarrier(ExplainHandler(self._controller.call), _LOG),
+                JOB_BODY_LIMIT_BYTES,
+            ),
             self._metrics,
             health=lambda: True,
             ready=lambda: bool(self._controller.leader),
--- a/src/sardinespool/platform/front_process.py
+++ b/src/sardinespool/platform/front_process.py
@@ -14,6 +14,7 @@
 from sardinespool.platform.caller_handler import CallerHandler
 from sardinespool.platform.caller_handler import CallerMetrics
 from sardinespool.platform.fault_barrier import FaultBarrier
+from sardinespool.platform.job_codec import JOB_BODY_LIMIT_BYTES
 from sardinespool.platform.responses import json_response
 from sardinespool.platform.settings import PlatformSettings
 from sardinespool.programs.controller.settings import (
@@ -32,8 +33,6 @@
 from sardinespool.transport.http_server import ServerLimits
 from sardinespool.transport.listener_guard import ListenerGuard
 
-BODY_LIMIT_BYTES = 262_144
-"""Body limit in the platform's manifests; submitted jobs are far smaller."""
 READINESS_BODY_LIMIT_BYTES = 4_096
 RECEIVE_BUFFER_BYTES = 16_384
 """Fills a link of 2 Mbit/s with a round trip of 60 ms; callers are closer."""
@@ -94,7 +93,7 @@
                 _LOG,
             ),
             ServerLimits(
-                BODY_LIMIT_BYTES, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+                JOB_BODY_LIMIT_BYTES, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
             ),
             guard=self._guard,
         )
--- a/src/sardinespool/platform/job_codec.py
+++ b/src/sardinespool/platform/job_codec.py
@@ -9,6 +9,9 @@
 from sardinespool.messages.workflows import WorkflowSpec
 from sardinespool.platform.integers import Count
 
+JOB_BODY_LIMIT_BYTES = 262_144
+"""Body limit in the platform's manifests; submitted jobs are far smaller."""
+
 
 class _Step(msgspec.Struct, frozen=True):
     count: Count = 0
--- a/src/sardinespool/programs/command_line/explain.py
+++ b/src/sardinespool/programs/command_line/explain.py
@@ -12,6 +12,7 @@
 from sardinespool.observability.history import LogLine
 from sardinespool.observability.history import parse_logs
 from sardinespool.observability.history import select_history
+from sardinespool.programs.command_line.dry_run import explain_job
 from sardinespool.programs.command_line.output import format_time
 from sardinespool.programs.command_line.output import Output
 from sardinespool.programs.command_line.output import to_compact_json
@@ -26,21 +27,44 @@
     identifier: Annotated[
         str,
         typer.Argument(
-            metavar="ID", help="ID of a job, task, worker or process."
+            metavar="[ID]", help="ID of a job, task, worker or process."
         ),
-    ],
+    ] = "",
     logs: Annotated[
-        list[str],
+        list[str] | None,
         typer.Argument(
-            metavar="LOG...", help="Log files; - for standard input."
+            metavar="[LOG...]", help="Log files; - for standard input."
         ),
-    ],
+    ] = None,
+    dry_run: Annotated[
+        str,
+        typer.Option(metavar="FILE", help="Job to explain; - for stdin."),
+    ] = "",
+    member: Annotated[
+        str,
+        typer.Option(metavar="IP:PORT", help="Status address of a core."),
+    ] = "",
+    url: Annotated[
+        str, typer.Option(help="URL to which the job would be sent.")
+    ] = "",
+    key: Annotated[
+        str, typer.Option(envvar="SARDINESPOOL_KEY", help="Key of the caller.")
+    ] = "",
     as_json: AsJson = False,
 ) -> None:
     """Show the log lines about an ID from any processes, ordered by time.
 
     Lines about its workers and about leader changes are marked as context.
+    With --dry-run, show instead where a job would start now, and why its
+    other tasks would wait, without submitting it.
     """
+    if dry_run:
+        if identifier or not member or "://" not in url:
+            raise typer.BadParameter("--dry-run needs --member and --url")
+        explain_job(dry_run, member, url, key, Output(as_json))
+        return
+    if not identifier or not logs:
+        raise typer.BadParameter("ID and LOG are required without --dry-run")
     parsed_logs = parse_logs(_read_lines(logs))
     output = Output(as_json)
     if parsed_logs.unreadable:
--- a/testing/platform/test_key_secrecy.py
+++ b/testing/platform/test_key_secrecy.py
@@ -204,6 +204,13 @@
                 )
                 assert answer
                 outputs.append(answer)
+        for key, status in (("a", b"200"), ("l", b"200"), ("x", b"401")):
+            line = f"POST /explain/q/dry{key}"
+            answer = await exchange(
+                core, STATUS_PORT, line, bearer(KEY + key), JOB
+            )
+            assert answer.split()[1] == status, answer
+            outputs.append(answer)
         source = await exchange(
             core, CONTROL_PORT, "GET /api/configuration/read"
         )
