Bound a leader's connections to workers

Cause: a leader opens two connections to each worker. Change: at most 0.85 of the descriptors less the 200 reserved ones are used for workers. Beyond, the connection that was not used for longest and has no exchange is closed; renewals keep theirs busy, so these are order connections. Measured: the new test and 72 others of the worker client and the settings pass; below 1,655 workers nothing changes.

--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -76,7 +76,9 @@
                 cluster_token=CONTROL_GROUP,
                 dispatch=settings.dispatch,
             ),
-            WorkerClient(IndexedHttpConnections()),
+            WorkerClient(
+                IndexedHttpConnections(settings.limits.worker_connections_max)
+            ),
             self._metrics,
             self._guard,
         )
