--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -47,8 +47,8 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 WORKER_CONNECTION_SHARE = 0.85
-"""Share of the other descriptors for connections to workers. Of 3,896, the rest
-of 585 is for the group's members, fronts, heartbeats and operators."""
+"""Share of the other descriptors for connections to workers. Of 3,896, the
+rest of 585 is for members, fronts, heartbeats and operators."""
 
 
 class Listen(msgspec.Struct, frozen=True):
