Place wide steps in slices, begun jobs first up to their fair share

Cause: all jobs that had begun formed one group ahead of the shares, and a whole step was placed at a time. A job of 2,000 tasks took all room until it ended; a one-task job of another workspace had no run after 12 s. A rank by the share at the beginning of the pass does not help where tasks end together.

Begun jobs come first while the share of their workspace, with the slices placed before, is below the level up to which the capacity serves all workspaces. Above it they precede new jobs of their own workspace only. A step of which a slice finds no room gets no other in that pass. Without workspaces, or with room for all, the order is the same.

--- a/src/sardinespool/dispatch/placement_order.py
+++ b/src/sardinespool/dispatch/placement_order.py
@@ -17,7 +17,6 @@
 from sardinespool.messages.manifest import QueueSpec
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.table import StepKey
-from sardinespool.workspaces.shares import fair_order
 from sardinespool.workspaces.shares import Group
 
 SERVING_BATCH_WINDOW_MS = 300
@@ -111,7 +110,7 @@
         Long-running steps appear twice: each gets half of its tasks before
         any gets the rest, as partial service is better than none. Steps that
         are not overdue are in the order of the shares of their workspaces, if
-        these share the workers.
+        these share the workers, and wide ones appear once for each slice.
         """
         queues = [
             (step, self._machine.current_queue(step.workflow))
@@ -142,13 +141,13 @@
                 )
                 entries.append((priority, step, tasks_max, group))
         entries.sort(key=lambda entry: entry[0])
-        groups: dict[Group, list[tuple[StepRecord, int]]] = {}
+        shared: list[tuple[Group, tuple[StepRecord, int]]] = []
         for priority, step, tasks_max, group in entries:
             if self.shares.applies and priority.awaits:
-                groups.setdefault(group, []).append((step, tasks_max))
+                shared.append((group, (step, tasks_max)))
             else:
                 yield step, tasks_max
-        yield from fair_order(groups, self.shares.share_of)
+        yield from self.shares.offers(shared)
 
     def _waited_ms(self, step: StepRecord, now: Instant) -> int:
         return now.boot_ms - self._waiting_since.setdefault(
--- a/src/sardinespool/dispatch/workspace_holds.py
+++ b/src/sardinespool/dispatch/workspace_holds.py
@@ -69,6 +69,7 @@
             step.tasks[index].key not in placed for index in step.waiting
         )
         if missing <= step.spec.count - tasks_max:
+            self._shares.note_filled(step)
             return
         name = step.workflow.workspace
         if not self._limits.may_start(step):
--- a/src/sardinespool/workspaces/shares.py
+++ b/src/sardinespool/workspaces/shares.py
@@ -9,6 +9,7 @@
 
 import enum
 import heapq
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -37,8 +38,8 @@
 
 Group = tuple[Rank, str]
 """Rank of the jobs and the name of their workspace. Jobs that have begun form
-one group: the shares decide which jobs begin, as a job has a value only as a
-whole."""
+one group while their workspaces are within their fair shares: the shares
+decide which jobs begin, as a job has a value only as a whole."""
 
 
 class JobQuotas:
@@ -124,8 +125,31 @@
     return any(need > most for need, most in zip(total, free, strict=True))
 
 
+def fair_level(demands: Iterable[tuple[float, float]]) -> float:
+    """Return the weighted share up to which each workspace is served.
+
+    It is the largest one at which the workspaces together, each with at most
+    what it demands, need no more than the capacity.
+
+    Parameters
+    ----------
+    demands : iterable of (float, float)
+        Weighted share that a workspace would have with all its tasks, and
+        its weight.
+    """
+    left = 1.0
+    pending = sorted(demands)
+    weights = sum(weight for _, weight in pending)
+    for demand, weight in pending:
+        if demand * weights > left:
+            return left / weights
+        left -= demand * weight
+        weights -= weight
+    return math.inf
+
+
 def fair_order(
-    entries: Mapping[Group, list[Entry]], share_of: Callable[[str], float]
+    entries: Mapping[Group, Iterator[Entry]], share_of: Callable[[str], float]
 ) -> Iterator[Entry]:
     """Yield the entries of the workspace with the least share first.
 
@@ -133,21 +157,21 @@
 
     Parameters
     ----------
-    entries : mapping of Group to list
+    entries : mapping of Group to iterator
         Entries of each group in their order.
     share_of : callable
         Returns the present weighted share of a workspace; an entry that was
         yielded may have raised it.
     """
-    heap = [(rank, share_of(name), name, 0) for rank, name in entries]
+    heap = [(rank, share_of(name), name, False) for rank, name in entries]
     heapq.heapify(heap)
     while heap:
-        rank, share, name, position = heapq.heappop(heap)
-        present = share_of(name)
-        if present > share:
-            heapq.heappush(heap, (rank, present, name, position))
+        rank, share, name, is_present = heapq.heappop(heap)
+        # Only entries of a lower rank raise a share without a new push.
+        if not is_present and (present := share_of(name)) > share:
+            heapq.heappush(heap, (rank, present, name, True))
             continue
-        group = entries[rank, name]
-        yield group[position]
-        if position + 1 < len(group):
-            heapq.heappush(heap, (rank, share_of(name), name, position + 1))
+        for entry in entries[rank, name]:
+            yield entry
+            heapq.heappush(heap, (rank, share_of(name), name, True))
+            break
--- a/testing/dispatch/test_workspace_shares.py
+++ b/testing/dispatch/test_workspace_shares.py
@@ -2,11 +2,13 @@
 
 import functools
 import json
+import random
 import statistics
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 
 from sardinespool.clock import Instant
@@ -269,6 +271,41 @@
     assert simulation.oracle.excesses == []
 
 
+@pytest.mark.parametrize("run_ms", [(700, 700), (200, 1_200)])
+def test_wide_job_that_has_begun_starves_no_other_workspace(
+    run_ms: tuple[int, int],
+) -> None:
+    """Guards against a begun job that takes all room until it ends.
+
+    Its tasks end together, or at different times.
+    """
+    simulation = WorkspaceSimulation(7, workers=6)
+    draw = random.Random(1)
+    for worker in simulation.workers.values():
+        worker.failure_ratio = 0.0
+        worker.run_time_ms = lambda task: draw.randint(*run_ms)
+    simulation.publish(*map(workspace, "ab"))
+    simulation.run(1_500)
+    wide = StepSpec(
+        count=2_000,
+        processors_millicores=500,
+        memory_mb=1,
+        expected_run_ms=700,
+    )
+    simulation.submit_to("a", "wide", wide)
+    simulation.run(2_000)
+    narrow = msgspec.structs.replace(wide, count=1)
+    simulation.submit_to("b", "narrow", narrow)
+    simulation.run(1_500)
+    (step,) = simulation.machine.table.workflows["narrow"].occurrences[0]
+    assert step.tasks[0].run
+    # The share that the other workspace does not ask for is lent.
+    (step,) = simulation.machine.table.workflows["wide"].occurrences[0]
+    begun = step.spec.count - len(step.waiting)
+    simulation.run(5_000)
+    assert step.spec.count - len(step.waiting) > begun + 100
+
+
 def test_operators_see_which_workspace_is_held_back() -> None:
     """Guards against jobs that wait for a limit or share unexplained."""
     simulation = WorkspaceSimulation(3, workers=2)
