Name no commit in a test of the codec

Cause: the hash in a doc comment names a commit that is not in the history. Change: the comment says what is guarded against.

--- a/testing/messages/test_codec.py
+++ b/testing/messages/test_codec.py
@@ -23,7 +23,7 @@
 )
 ANSWER = StoredResponse(status=200, headers=(("A", "b"),), body=b"\x00\xff")
 
-WORKER_OF_6E8FEBF = (
+WORKER_WITHOUT_RACK = (
     "83a474797065a7436f6d6d616e64b070726f706f7365645f756e69785f6d73cd03e8"
     "a4626f647982a474797065a9507574576f726b6572ab6465736372697074696f6e8b"
     "a9776f726b65725f6964a3692d31a46c69666511a761646472657373ab31302e302e"
@@ -81,8 +81,8 @@
 
 
 def test_worker_recorded_without_a_rack_is_read() -> None:
-    """Guards against a store of 6e8febf that a new build can't read."""
-    command = codec.decode_command(bytes.fromhex(WORKER_OF_6E8FEBF))
+    """Guards against a store of an earlier build that a new one can't read."""
+    command = codec.decode_command(bytes.fromhex(WORKER_WITHOUT_RACK))
     assert isinstance(command.body, PutWorker)
     description = command.body.description
     assert (description.worker_id, description.incarnation) == ("i-1", 17)
