Take out the spread of heartbeats and the bound on worker connections

Ruled out: that descriptors alone are the cause. With two connections for each of 3,000 workers they run out in any case, but the leader is also short of processor time, and a heartbeat that a member has forwarded stays queued at the leader after its worker has given up (suspected from the memory, not traced). Change: heartbeats go to the leader and connections are opened as before.

--- a/src/sardinespool/platform/control_handler.py
+++ b/src/sardinespool/platform/control_handler.py
@@ -9,7 +9,6 @@
 from sardinespool.messages.manifest import ManifestCopy
 from sardinespool.messages.manifest import ReadManifest
 from sardinespool.messages.manifest import SetEvacuation
-from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.observability.logs import get_logger
 from sardinespool.platform.manifest_codec import decode_manifest
 from sardinespool.platform.responses import error_response
@@ -39,15 +38,14 @@
     send_order : callable
         Has an order carried out while its caller waits for it.
     heartbeat_address : callable
-        Returns the control address for the next heartbeats of the worker that
-        sent a report, or "" if there is no leader.
+        Returns the leader's control address, or "" if there is no leader.
     """
 
     def __init__(
         self,
         call: Callable[[Request, int], Awaitable[Reply]],
         send_order: Callable[[SetEvacuation, WaitingCaller], Awaitable[Reply]],
-        heartbeat_address: Callable[[ReportWorker], str],
+        heartbeat_address: Callable[[], str],
     ) -> None:
         self._call = call
         self._send_order = send_order
@@ -80,10 +78,9 @@
         if isinstance(reply, ManifestCopy):
             content_type = ("Content-Type", "application/json")
             return HttpResponse(200, (content_type,), reply.source)
-        if isinstance(message, ReportWorker):
-            address = self._heartbeat_address(message)
-            if address:
-                return json_response(200, {"heartbeat_address": address})
+        leader_address = self._heartbeat_address()
+        if request.target.endswith("/heartbeat") and leader_address:
+            return json_response(200, {"heartbeat_address": leader_address})
         return json_response(200, {})
 
 
--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -4,7 +4,6 @@
 import pathlib
 
 from sardinespool.errors.settings import SettingsError
-from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
 from sardinespool.observability.status_server import StatusServer
@@ -76,9 +75,7 @@
                 cluster_token=CONTROL_GROUP,
                 dispatch=settings.dispatch,
             ),
-            WorkerClient(
-                IndexedHttpConnections(settings.limits.worker_connections_max)
-            ),
+            WorkerClient(IndexedHttpConnections()),
             self._metrics,
             self._guard,
         )
@@ -148,7 +145,6 @@
         await status_server.stop()
         _LOG.info("stopped", node=self._settings.node)
 
-    def _heartbeat_address(self, report: ReportWorker) -> str:
-        descriptors = self._settings.limits.file_descriptors
-        target = self._controller.heartbeat_target(report, descriptors)
-        return self._settings.control_address_of(target) if target else ""
+    def _heartbeat_address(self) -> str:
+        leader = self._controller.leader
+        return self._settings.control_address_of(leader) if leader else ""
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -46,9 +46,6 @@
 CONNECTIONS_MIN = 64
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
-WORKER_CONNECTION_SHARE = 0.85
-"""Share of the other descriptors for connections to workers. Of 3,896, the
-rest of 585 is for members, fronts, heartbeats and operators."""
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -97,14 +94,6 @@
     rate_grace_ms: _RateGrace = _DEADLINES.rate_grace_ms
     drain_timeout_ms: _DrainTimeout = _DEADLINES.drain_timeout_ms
 
-    @property
-    def worker_connections_max(self) -> int | None:
-        """Number of connections that a leader opens to workers at most."""
-        if self.file_descriptors is None:
-            return None
-        descriptors = max(1, self.file_descriptors - RESERVED_DESCRIPTORS)
-        return max(1, int(WORKER_CONNECTION_SHARE * descriptors))
-
     @property
     def guard(self) -> GuardSettings:
         """Limits of the listeners of the process."""
--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -15,13 +15,8 @@
 from sardinespool.groups.control_machine import ControlMachine
 from sardinespool.messages.codec import Reply
 from sardinespool.messages.codec import Request
-from sardinespool.messages.worker_reports import ReportWorker
 from sardinespool.observability.logs import get_logger
 from sardinespool.observability.metrics import Metrics
-from sardinespool.programs.controller.heartbeat_targets import heartbeat_target
-from sardinespool.programs.controller.heartbeat_targets import (
-    spreads_heartbeats,
-)
 from sardinespool.programs.controller.settings import (
     cluster_settings_from_token,
 )
@@ -111,29 +106,6 @@
         """Address of the leader; empty if no leader is known."""
         return member_name(self._runner.status.leader)
 
-    def heartbeat_target(
-        self, report: ReportWorker, descriptors: int | None
-    ) -> str:
-        """Return the member for the next heartbeats of a worker, or "".
-
-        Parameters
-        ----------
-        report : ReportWorker
-            Heartbeat that this member has taken.
-        descriptors : int or None
-            Limit of open descriptors; None for no limit.
-        """
-        status = self._runner.status
-        return heartbeat_target(
-            own=self._settings.address,
-            leader=self.leader,
-            members=[member_name(item) for item in status.voters],
-            worker_id=report.description.worker_id,
-            sequence=report.sequence,
-            spread=descriptors is not None
-            and spreads_heartbeats(len(self._machine.workers), descriptors),
-        )
-
     def describe(self) -> dict[str, object]:
         """Return the state of the member for the state dump."""
         return {"replica": self._runner.status}
--- a/src/sardinespool/transport/indexed_http_connections.py
+++ b/src/sardinespool/transport/indexed_http_connections.py
@@ -20,20 +20,11 @@
     Connections to the same server are independent. A connection is opened on
     first use and reopened after a failure. At most one exchange may be in
     progress on a connection.
-
-    Parameters
-    ----------
-    connections_max : int or None
-        Number of connections above which the least recently used one without
-        an exchange is closed for a new one; None for no limit.
     """
 
-    def __init__(self, connections_max: int | None = None) -> None:
-        # In the order of their last use.
+    def __init__(self) -> None:
         self._connections: dict[tuple[str, int], HttpConnection] = {}
         self._addresses: dict[str, str] = {}
-        self._connections_max = connections_max
-        self._opening = 0
 
     async def connect(
         self, server: str, connection_index: int, address: str
@@ -46,36 +37,16 @@
         connection = self._connections.get(key)
         if connection is None or not connection.idle:
             if connection is not None:
-                self._connections.pop(key).close()
-            if not self._make_room():
-                return ExchangeNotSent("all connections are in use")
-            self._opening += 1
+                connection.close()
             try:
                 connection = await self._connect(address)
             except (OSError, TimeoutError) as error:
                 return ExchangeNotSent(
                     f"the connect failed: {error!r}", _is_refusal(error)
                 )
-            finally:
-                self._opening -= 1
-        self._connections.pop(key, None)
-        self._connections[key] = connection
+            self._connections[key] = connection
         return connection
 
-    def _make_room(self) -> bool:
-        """Close idle connections until one may be opened, if possible."""
-        if self._connections_max is None:
-            return True
-        count = len(self._connections) + self._opening
-        if count < self._connections_max:
-            return True
-        for key, connection in self._connections.items():
-            if connection.idle or connection.closed:
-                del self._connections[key]
-                connection.close()
-                return True
-        return False
-
     def close_connections(self, server: str) -> None:
         """Close all connections to a server."""
         self._addresses.pop(server, None)
--- a/testing/platform/test_fault_barrier.py
+++ b/testing/platform/test_fault_barrier.py
@@ -89,9 +89,7 @@
 
 def make_core(group: FakeGroup) -> Any:
     return ControlHandler(
-        group.call,
-        TimelyOrders(group.call, system_clock.now).send,
-        lambda _: "",
+        group.call, TimelyOrders(group.call, system_clock.now).send, lambda: ""
     )
 
 
--- a/testing/platform/test_handlers.py
+++ b/testing/platform/test_handlers.py
@@ -70,7 +70,7 @@
     group: FakeGroup, method: str, target: str, body: bytes = b""
 ) -> HttpResponse:
     handler = ControlHandler(
-        group.call, group.send_order, lambda _: "10.0.0.4:8080"
+        group.call, group.send_order, lambda: "10.0.0.4:8080"
     )
     request = HttpRequest(method, target, REQUEST_HEADERS, body)
     return asyncio.run(handler(ReceivedRequest(request)))
--- a/testing/transport/test_arrivals.py
+++ b/testing/transport/test_arrivals.py
@@ -136,7 +136,7 @@
         return Accepted()
 
     handler = ControlHandler(
-        call, TimelyOrders(call, system_clock.now).send, lambda _: ""
+        call, TimelyOrders(call, system_clock.now).send, lambda: ""
     )
     async with listen(handler) as (client, _):
         client.sendall(REQUEST)
