Free what was read from a connection that is given up

Cause: a stream keeps its read buffer after it was closed, until the garbage collector finds the cycles that hold the stream, which is seldom. Change: the guard clears the buffer of a connection that it has closed.

--- a/src/sardinespool/transport/guarded_stream.py
+++ b/src/sardinespool/transport/guarded_stream.py
@@ -152,6 +152,15 @@
         """Set the class of a connection that has proved its identity."""
         self._accounts.promote(self, connection_class)
 
+    def discard_received(self) -> None:
+        """Free what was read from a closed connection.
+
+        The stream would keep it until the garbage collector finds the
+        reference cycles that hold the stream.
+        """
+        self.stream._read_buffer = bytearray()
+        self.stream._read_buffer_size = 0
+
     def close(self) -> None:
         """Note that the connection has ended."""
         self._closed = True
--- a/src/sardinespool/transport/listener_guard.py
+++ b/src/sardinespool/transport/listener_guard.py
@@ -224,6 +224,7 @@
         else:
             guarded.stream.close()
         if guarded.stream.closed():
+            guarded.discard_received()
             guarded.close()
 
     def _schedule_sweep(self, loop: asyncio.AbstractEventLoop) -> None:
