--- a/review/standin2/worker.py
+++ b/review/standin2/worker.py
@@ -1,6 +1,7 @@
 """Stand-in for the workers: they run tasks as PROTOCOL.md says.
 
-A task's ``task_spec`` is ``ms=N``, its run time; a task without it lasts.
+A task's ``task_spec`` is ``ms=N``, its run time, or ``fail=N``, the time after
+which it fails; a task with neither lasts.
 All workers of a test run in one thread with an event loop of its own.
 """
 
@@ -35,7 +36,7 @@
 
     def percent(self, now: float) -> int:
         """Return the progress; a task that lasts is at work at 100."""
-        if self.length_s is None:
+        if not self.spec.startswith("ms="):
             return 100 if now - self.started > 0.3 else 0
         return min(99, int(100 * (now - self.started) / self.length_s))
 
@@ -199,7 +200,8 @@
                     run.length_s is not None
                     and now >= run.started + run.length_s
                 ):
-                    self._finish(run, "done")
+                    failed = run.spec.startswith("fail=")
+                    self._finish(run, "failed" if failed else "done")
 
     def _finish(self, run: Run, how: str) -> None:
         del self.runs[run.task]
@@ -302,7 +304,10 @@
             if run is not None or number <= self._highest.get(task, 0):
                 return self._refusal("old")
             spec = body["task_spec"]
-            length_s = int(spec[3:]) / 1000 if spec.startswith("ms=") else None
+            kind, _, length_ms = spec.partition("=")
+            length_s = (
+                int(length_ms) / 1000 if kind in ("ms", "fail") else None
+            )
             run = Run(task, number, time.monotonic(), length_s, spec)
             self.runs[task] = run
             self._workers.started(self, run)
