--- a/review/standin2/platform.py
+++ b/review/standin2/platform.py
@@ -5,6 +5,7 @@
 killed, as DEPLOY.md says.
 """
 
+import atexit
 import contextlib
 import json
 import os
@@ -337,6 +338,9 @@
             :3
         ]
         self._ending = threading.Event()
+        # Nothing is left behind if the time of a case is over, either.
+        atexit.register(self.close)
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
         self._watcher = threading.Thread(target=self._watch, daemon=True)
 
     def ip(self, group: int, number: int) -> str:
