--- a/src/sardinespool/storage/group_store.py
+++ b/src/sardinespool/storage/group_store.py
@@ -154,9 +154,12 @@
     def _store_snapshot(self, snapshot: Snapshot) -> None:
         self._log.sync()
         self._snapshots.write(snapshot)
-        first = self._log.first_index
-        if first is not None and not self._log_matches_snapshot(snapshot):
-            self._log.truncate_from(first)
+        if (
+            self._log.first_index is not None
+            and not self._log_matches_snapshot(snapshot)
+        ):
+            # The files may also hold entries before the first current one.
+            self._log.truncate_from(1)
             self._log.sync()
         self._log.rotate()
         self._log.remove_segments_through(snapshot.index)
--- a/src/sardinespool/storage/segmented_log.py
+++ b/src/sardinespool/storage/segmented_log.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Segment:
-    """Segment file and the highest entry index written to it."""
+    """Segment file and the highest index of its current entries."""
 
     path: pathlib.Path
     last_index: int = 0
@@ -101,23 +101,28 @@
                     index=entry.index,
                     last_index=self.last_index,
                 )
-            del self._terms[position:]
+            if position < len(self._terms):
+                self._forget_from(entry.index)
             self._terms.append(entry.term)
             self._pending_records.append(
                 encode_record(
                     entry.index, entry.term, entry.kind, entry.payload
                 )
             )
-            segment = self._segments[-1]
-            segment.last_index = max(segment.last_index, entry.index)
+            self._segments[-1].last_index = entry.index
 
     def truncate_from(self, index: int) -> None:
         """Queue the removal of the entries from `index` on."""
-        del self._terms[max(0, index - self._first_index) :]
+        self._forget_from(index)
         self._pending_records.append(
             encode_record(index, 0, RecordKind.TRUNCATE)
         )
 
+    def _forget_from(self, index: int) -> None:
+        del self._terms[max(0, index - self._first_index) :]
+        for segment in self._segments:
+            segment.last_index = min(segment.last_index, index - 1)
+
     def sync(self) -> None:
         """Write the queued records and make them durable with one sync."""
         if self._pending_records:
@@ -141,7 +146,7 @@
         self._segments.append(Segment(path))
 
     def remove_segments_through(self, index: int) -> None:
-        """Remove the oldest segments without entries above `index`.
+        """Remove the oldest segments without current entries above `index`.
 
         Segments are removed strictly from the oldest on, since a `TRUNCATE`
         record also applies to entries in older segments. Each removal is
@@ -171,10 +176,12 @@
         end = 0
         for record in read_records(data):
             end = record.end
+            _remove_entries_from(entries, record.index)
+            for earlier in self._segments:
+                earlier.last_index = min(earlier.last_index, record.index - 1)
+            segment.last_index = min(segment.last_index, record.index - 1)
             if record.kind is RecordKind.TRUNCATE:
-                _remove_entries_from(entries, record.index)
                 continue
-            _remove_entries_from(entries, record.index)
             if entries and record.index != entries[-1].index + 1:
                 raise CorruptLogError(
                     "Entries are missing from the log.",
@@ -183,7 +190,7 @@
                     last_index=entries[-1].index,
                 )
             entries.append(record.entry())
-            segment.last_index = max(segment.last_index, record.index)
+            segment.last_index = record.index
         if end == len(data):
             return
         if not is_last or has_record_after(data, end):
--- a/testing/storage/test_group_store.py
+++ b/testing/storage/test_group_store.py
@@ -53,6 +53,17 @@
         ([[Persist(None, entries(1, 5))], [snapshot(9, 2)]], ()),
         # It also replaces a log with another term at its index.
         ([[Persist(None, entries(1, 5))], [snapshot(4, 2)]], ()),
+        # A segment with removed entries above the snapshot is not needed.
+        (
+            [
+                [Persist(None, entries(1, 10))],
+                [Persist(None, entries(3, 6, 2), 3)],
+                [snapshot(4, 2)],
+                [snapshot(9, 4)],
+                [Persist(None, entries(10, 12, 4))],
+            ],
+            entries(10, 12, 4),
+        ),
         # Entries can be appended after a leader's snapshot.
         (
             [
@@ -75,6 +86,23 @@
     assert load_state(tmp_path).entries == expected
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+def test_segment_with_removed_entries_is_removed_by_a_snapshot(
+    tmp_path: pathlib.Path, restarted: bool
+) -> None:
+    """Guards against segments that are kept for entries that are gone."""
+    persist_batches(
+        tmp_path,
+        [Persist(None, entries(1, 10))],
+        [Persist(None, entries(3, 6, 2), 3)],
+    )
+    if restarted:
+        load_state(tmp_path)
+    persist_batches(tmp_path, [snapshot(6, 2)])
+    assert len(list(tmp_path.glob("segment-*"))) == 1
+    assert load_state(tmp_path).entries == ()
+
+
 def test_log_truncated_at_any_byte_is_recovered(
     tmp_path: pathlib.Path,
 ) -> None:
