--- a/src/sardinespool/errors/replication.py
+++ b/src/sardinespool/errors/replication.py
@@ -21,6 +21,10 @@
     """Leadership changed before the proposal was committed."""
 
 
+class LogFullError(ReplicationError):
+    """The uncommitted commands leave no room for this one; it has not run."""
+
+
 class MembershipChangeError(ReplicationError):
     """Another membership change is in progress or the change is invalid."""
 
--- a/src/sardinespool/platform/core_process.py
+++ b/src/sardinespool/platform/core_process.py
@@ -74,6 +74,7 @@
                 data_folder=pathlib.Path(settings.data_folder),
                 cluster_token=CONTROL_GROUP,
                 dispatch=settings.dispatch,
+                replication=settings.limits.replication,
             ),
             WorkerClient(IndexedHttpConnections()),
             self._metrics,
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -11,6 +11,7 @@
 from sardinespool.dispatch.settings import DispatchSettings
 from sardinespool.errors.settings import SettingsError
 from sardinespool.settings.addresses import split_address
+from sardinespool.settings.model import ReplicationSettings
 from sardinespool.transport.guard_settings import GuardSettings
 from sardinespool.transport.request_deadlines import RequestDeadlines
 
@@ -44,6 +45,11 @@
 """A manifest of 4 MiB in progress takes 12 MiB of the 15 MiB that are not
 reserved for the internal links."""
 CONNECTIONS_MIN = 64
+LOG_MEMORY_SHARE = 1 / 32
+"""Entries of four log segments may be in memory at a time."""
+LOG_DISK_SHARE = 1 / 16
+"""Two log segments, each with two more of entries that are not committed, take
+6/16 of the disk; the rest is for two snapshots."""
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 
@@ -73,6 +79,8 @@
     ----------
     memory_mb, file_descriptors : int or None
         Limits of the process; None if there is none.
+    disk_mb : float or None
+        Size of the disk that holds the data folder; None if it is unknown.
     receive_budget_mb : int or None
         Data held for requests and answers; None for a quarter of the memory.
     connections : int or None
@@ -85,6 +93,7 @@
 
     memory_mb: Annotated[float, msgspec.Meta(ge=1)] | None = None
     file_descriptors: Count | None = None
+    disk_mb: Annotated[float, msgspec.Meta(ge=0)] | None = None
     receive_budget_mb: (
         Annotated[int, msgspec.Meta(ge=RECEIVE_BUDGET_MB_MIN)] | None
     ) = None
@@ -125,6 +134,25 @@
             ),
         )
 
+    @property
+    def replication(self) -> ReplicationSettings:
+        """Sizes of the replicated log; see docs/CAPACITY.md for the sum."""
+        settings = ReplicationSettings()
+        snapshot_every_bytes = settings.snapshot_every_bytes
+        if self.memory_mb:
+            snapshot_every_bytes = min(
+                snapshot_every_bytes,
+                int(LOG_MEMORY_SHARE * self.memory_mb * 1_048_576),
+            )
+        if self.disk_mb:
+            snapshot_every_bytes = min(
+                snapshot_every_bytes,
+                int(LOG_DISK_SHARE * self.disk_mb * 1_048_576),
+            )
+        return msgspec.structs.replace(
+            settings, snapshot_every_bytes=snapshot_every_bytes
+        )
+
 
 class PlatformSettings(msgspec.Struct, frozen=True):
     """Settings of one process; unknown fields of the file are ignored.
--- a/src/sardinespool/programs/controller/control_member.py
+++ b/src/sardinespool/programs/controller/control_member.py
@@ -1,12 +1,14 @@
 """Member of a control group, embedded in a process."""
 
 import asyncio
+import gc
 import zlib
 
 from sardinespool.dispatch.control_service import ControlService
 from sardinespool.dispatch.dispatcher import Dispatcher
 from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.errors.replication import GroupUnavailableError
+from sardinespool.errors.replication import LogFullError
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.storage import CorruptLogError
@@ -49,6 +51,8 @@
 """Limit for a transfer of leadership; an election takes at most 1.5 s."""
 STORAGE_RETRY_DELAY_MS = 1_000
 """Delay before the files are reopened; each attempt writes to the disk."""
+LOG_FULL_RETRY_MS = 50
+"""A commit takes about 10 ms."""
 PLANNING_INTERVAL_MS = 2
 """Shortest time between two planning passes."""
 
@@ -136,7 +140,7 @@
         if self._runner.serving:
             try:
                 async with asyncio.timeout(timeout_ms / 1000):
-                    return await self._runner.call(request)
+                    return await self._call_leader(request)
             except NotLeaderError:
                 # The lease expired meanwhile; another member may lead.
                 pass
@@ -159,6 +163,14 @@
                 raise
             raise _unavailable_error(sent) from error
 
+    async def _call_leader(self, request: Request) -> Reply:
+        """Handle a request locally; wait while the log has no room."""
+        while True:
+            try:
+                return await self._runner.call(request)
+            except LogFullError:
+                await asyncio.sleep(LOG_FULL_RETRY_MS / 1000)
+
     async def transfer_leadership(self) -> None:
         """Transfer leadership to another member if this one leads."""
         self._stopping.set()
@@ -182,7 +194,10 @@
         await self._connector.close()
 
     def _open_group(self) -> None:
-        """Load the files of the group and create its components."""
+        """Load the files of the group and create its components.
+
+        The previous state must not stay in memory beside the loaded one.
+        """
         self._machine = ControlMachine()
         self._dispatcher = Dispatcher(
             self._machine,
@@ -190,6 +205,8 @@
             self._senders.wake,
             self._dispatch_metrics,
         )
+        # The components of a dispatcher refer to each other.
+        gc.collect()
         self._runner = GroupRunner(self._make_event_handler())
         self._runners[CONTROL_GROUP] = self._runner
 
@@ -246,6 +263,8 @@
                 lease_ms=timing.lease_ms,
                 election_timeout_min_ms=timing.election_timeout_min_ms,
                 election_timeout_max_ms=timing.election_timeout_max_ms,
+                retained_limit_bytes=timing.snapshot_every_bytes,
+                uncommitted_limit_bytes=timing.snapshot_every_bytes,
             ),
             state,
             zlib.crc32(settings.address.encode()),
@@ -273,6 +292,7 @@
             timing.snapshot_every_entries,
             reformed=False,
             service_tick_interval_ms=PLANNING_INTERVAL_MS,
+            snapshot_every_bytes=timing.snapshot_every_bytes,
         )
 
     async def _remove_unknown_senders(self) -> None:
--- a/src/sardinespool/programs/store/group_event_handler.py
+++ b/src/sardinespool/programs/store/group_event_handler.py
@@ -7,8 +7,6 @@
 
 from sardinespool.clock import Instant
 from sardinespool.errors import SardinespoolError
-from sardinespool.errors.replication import NotLeaderError
-from sardinespool.errors.replication import ProposalLostError
 from sardinespool.groups.interfaces import GroupMachine
 from sardinespool.groups.interfaces import GroupService
 from sardinespool.groups.interfaces import ImmediateReply
@@ -17,6 +15,9 @@
 from sardinespool.messages.commands import CommandBody
 from sardinespool.messages.commands import FormGroup
 from sardinespool.observability.logs import get_logger
+from sardinespool.programs.store.call_errors import log_full_error
+from sardinespool.programs.store.call_errors import not_leader_error
+from sardinespool.programs.store.call_errors import reply_withheld_error
 from sardinespool.programs.store.domain_sync import answer_sync_request
 from sardinespool.programs.store.domain_sync import sync_proposals
 from sardinespool.programs.store.fault_barrier import apply_command
@@ -26,6 +27,7 @@
 from sardinespool.programs.store.message_sending import DiskEffects
 from sardinespool.programs.store.message_sending import send_entries
 from sardinespool.programs.store.message_sending import send_other_messages
+from sardinespool.programs.store.pending import batch_bounds
 from sardinespool.programs.store.pending import encode_proposals
 from sardinespool.programs.store.pending import fail
 from sardinespool.programs.store.pending import PendingProposals
@@ -47,21 +49,18 @@
 from sardinespool.replication.replica import Replica
 from sardinespool.replication.state import Snapshot
 from sardinespool.replication.status import ReplicaStatus
+from sardinespool.settings.model import ReplicationSettings
 from sardinespool.storage.group_store import GroupStore
 
 SERVICE_TICK_INTERVAL_MS = 100
+BATCHES_PER_SEGMENT = 8
+"""Proposals in a batch are accepted together, so batches are smaller than the
+room for uncommitted entries, which is that of a segment."""
+SNAPSHOT_EVERY_BYTES = ReplicationSettings().snapshot_every_bytes
 
 _LOG = get_logger("store")
 
 
-def reply_withheld_error(group: str) -> ProposalLostError:
-    """Return the error for a request whose reply the lease did not outlast.
-
-    The request may have been committed, so it is not a refusal.
-    """
-    return ProposalLostError("The lease ended before the reply.", group=group)
-
-
 class GroupEventHandler:
     """Handles the events of a group in batches; starts no task itself.
 
@@ -94,6 +93,8 @@
         Whether the group is formed again after all its disks were lost.
     service_tick_interval_ms : int
         Shortest time between two ticks of the service.
+    snapshot_every_bytes : int
+        Size of a log segment above which a snapshot is taken.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
         snapshot_every_entries: int,
         reformed: bool,
         service_tick_interval_ms: int = SERVICE_TICK_INTERVAL_MS,
+        snapshot_every_bytes: int = SNAPSHOT_EVERY_BYTES,
     ) -> None:
         self.group = group
         self._leader_service = LeaderService(group, service)
@@ -122,6 +124,7 @@
         self._clock = clock
         self._metrics = metrics
         self._snapshot_every_entries = snapshot_every_entries
+        self._snapshot_every_bytes = snapshot_every_bytes
         self._reformed = reformed
         self._service_tick_interval_ms = service_tick_interval_ms
         self._pending = PendingProposals()
@@ -212,7 +215,7 @@
     ) -> None:
         waiter = Waiter(event.request, event.reply)
         if not self._can_serve:
-            fail(waiter, self.not_leader_error())
+            fail(waiter, not_leader_error(self.group, self.status.leader))
             return
         try:
             outcome = handle_request(
@@ -255,8 +258,18 @@
         payloads, waiters = encode_proposals(
             proposals, now.unix_ms, self._leader_service.on_encoding_failed
         )
-        if not payloads:
-            return []
+        effects: list[replica_effects.Effect] = []
+        for first, last in batch_bounds(
+            payloads, self._snapshot_every_bytes // BATCHES_PER_SEGMENT
+        ):
+            effects += self._propose_batch(
+                payloads[first:last], waiters[first:last], now
+            )
+        return effects
+
+    def _propose_batch(
+        self, payloads: tuple[bytes, ...], waiters: list[Waiter], now: Instant
+    ) -> list[replica_effects.Effect]:
         effects = self._replica.handle(replica_events.Propose(payloads), now)
         for effect in effects:
             match effect:
@@ -266,9 +279,14 @@
                     for offset, waiter in enumerate(waiters):
                         self._pending.add(first_index + offset, term, waiter)
                         self._internal_pending += waiter.reply is None
-                case replica_effects.ProposalRejected():
+                case replica_effects.ProposalRejected(log_full=log_full):
+                    error = (
+                        log_full_error(self.group)
+                        if log_full
+                        else not_leader_error(self.group, self.status.leader)
+                    )
                     for waiter in waiters:
-                        fail(waiter, self.not_leader_error())
+                        fail(waiter, error)
         return effects
 
     def persist(self, durable_effects: DiskEffects) -> None:
@@ -356,7 +374,10 @@
         resolve(waiter, self._service.build_reply(waiter.request, result, now))
 
     def _snapshot_if_due(self) -> Iterator[DiskEffects]:
-        if self._entries_since_snapshot < self._snapshot_every_entries:
+        if not self._entries_since_snapshot or (
+            self._entries_since_snapshot < self._snapshot_every_entries
+            and self._store.segment_bytes < self._snapshot_every_bytes
+        ):
             return
         self._entries_since_snapshot = 0
         yield from self._execute(
@@ -370,13 +391,3 @@
 
     def _machine_is_formed(self) -> bool:
         return bool(getattr(self._machine, "group_incarnation", ""))
-
-    def not_leader_error(self) -> NotLeaderError:
-        """Return the error that names the leader, if it is known."""
-        # Identities are ``name#incarnation``; clients use the name only.
-        leader = self.status.leader.partition("#")[0]
-        return NotLeaderError(
-            "The member does not lead the group.",
-            group=self.group,
-            leader=leader,
-        )
--- a/src/sardinespool/programs/store/group_runner.py
+++ b/src/sardinespool/programs/store/group_runner.py
@@ -6,10 +6,9 @@
 from sardinespool.messages.codec import Request
 from sardinespool.messages.jobs import DomainSync
 from sardinespool.messages.jobs import SyncDomain
+from sardinespool.programs.store.call_errors import not_leader_error
+from sardinespool.programs.store.call_errors import reply_withheld_error
 from sardinespool.programs.store.group_event_handler import GroupEventHandler
-from sardinespool.programs.store.group_event_handler import (
-    reply_withheld_error,
-)
 from sardinespool.programs.store.message_sending import DiskEffects
 from sardinespool.programs.store.runner_events import CallReceived
 from sardinespool.programs.store.runner_events import PeerMessageReceived
@@ -45,21 +44,23 @@
     def __init__(self, event_handler: GroupEventHandler) -> None:
         self.group = event_handler.group
         self.not_serving = event_handler.not_serving
-        self._event_handler = event_handler
+        self._event_handler: GroupEventHandler | None = event_handler
+        self._last_status = event_handler.status
         self._queue: asyncio.Queue[RunnerEvent] = asyncio.Queue(
             QUEUE_EVENTS_MAX
         )
-        self._ended = False
 
     @property
     def status(self) -> ReplicaStatus:
-        """Status of the replica."""
+        """Status of the replica; the last one once the runner ended."""
+        if self._event_handler is None:
+            return self._last_status
         return self._event_handler.status
 
     @property
     def serving(self) -> bool:
         """Whether this member leads and its lease is valid."""
-        return self._event_handler.serving
+        return self._event_handler is not None and self._event_handler.serving
 
     async def call(self, request: Request) -> Reply:
         """Handle a request from another process and return the reply.
@@ -74,12 +75,12 @@
         reply: asyncio.Future[Reply] = (
             asyncio.get_running_loop().create_future()
         )
-        if self._ended:
-            raise self._event_handler.not_leader_error()
+        if self._event_handler is None:
+            raise not_leader_error(self.group, self._last_status.leader)
         await self._queue.put(CallReceived(request, reply))
         result = await reply
         # The lease may have expired since, if the process was suspended.
-        if not self._event_handler.serving:
+        if not self.serving:
             raise reply_withheld_error(self.group)
         return result
 
@@ -110,34 +111,41 @@
         await self._queue.put(TransferRequested())
 
     async def run(self) -> None:
-        """Handle events until cancelled."""
+        """Handle events until cancelled.
+
+        Then the log, the state and the files are released, so that they can
+        be loaded again without a second copy in memory.
+        """
+        handler = self._event_handler
+        assert handler is not None
         batch: list[RunnerEvent] = []
         try:
             while True:
                 batch = await self._collect_batch()
-                for durable_effects in self._event_handler.handle_batch(batch):
-                    await self._persist(durable_effects)
+                for durable_effects in handler.handle_batch(batch):
+                    await self._persist(handler, durable_effects)
         finally:
-            self._ended = True
+            self._last_status = handler.status
+            self._event_handler = None
             # Answers the calls that were proposed.
-            self._event_handler.close()
+            handler.close()
             self._refuse_calls(batch)
 
     def _refuse_calls(self, batch: list[RunnerEvent]) -> None:
         """Refuse the calls of an unfinished batch and those in the queue."""
         while not self._queue.empty():
             batch.append(self._queue.get_nowait())
-        error = self._event_handler.not_leader_error()
+        error = not_leader_error(self.group, self._last_status.leader)
         for event in batch:
             if isinstance(event, CallReceived) and not event.reply.done():
                 event.reply.set_exception(error)
 
-    async def _persist(self, durable_effects: DiskEffects) -> None:
+    async def _persist(
+        self, handler: GroupEventHandler, durable_effects: DiskEffects
+    ) -> None:
         """Persist in a thread, so that the event loop is not blocked."""
         loop = asyncio.get_running_loop()
-        sync = loop.run_in_executor(
-            None, self._event_handler.persist, durable_effects
-        )
+        sync = loop.run_in_executor(None, handler.persist, durable_effects)
         try:
             await asyncio.shield(sync)
         except asyncio.CancelledError:
--- a/src/sardinespool/programs/store/pending.py
+++ b/src/sardinespool/programs/store/pending.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
 
 from sardinespool.errors import SardinespoolError
 from sardinespool.errors.replication import ProposalLostError
@@ -73,6 +75,26 @@
         waiter.reply.set_result(reply)
 
 
+def batch_bounds(
+    payloads: Sequence[bytes], limit_bytes: int
+) -> Iterator[tuple[int, int]]:
+    """Yield the bounds of the batches in which payloads are proposed.
+
+    A batch is accepted or rejected as a whole. It has up to `limit_bytes`
+    bytes, or one payload.
+    """
+    first = 0
+    size_bytes = 0
+    for position, payload in enumerate(payloads):
+        size_bytes += len(payload)
+        if position > first and size_bytes > limit_bytes:
+            yield first, position
+            first = position
+            size_bytes = len(payload)
+    if payloads:
+        yield first, len(payloads)
+
+
 def encode_proposals(
     proposals: list[tuple[CommandBody, Waiter]],
     now_unix_ms: int,
--- a/src/sardinespool/programs/store/store_process.py
+++ b/src/sardinespool/programs/store/store_process.py
@@ -143,6 +143,8 @@
                 lease_ms=timing.lease_ms,
                 election_timeout_min_ms=timing.election_timeout_min_ms,
                 election_timeout_max_ms=timing.election_timeout_max_ms,
+                retained_limit_bytes=timing.snapshot_every_bytes,
+                uncommitted_limit_bytes=timing.snapshot_every_bytes,
             ),
             state,
             seed,
@@ -172,6 +174,7 @@
             state.snapshot,
             timing.snapshot_every_entries,
             self._settings.reformed,
+            snapshot_every_bytes=timing.snapshot_every_bytes,
         )
         return GroupRunner(event_handler)
 
--- a/src/sardinespool/replication/effects.py
+++ b/src/sardinespool/replication/effects.py
@@ -87,9 +87,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProposalRejected:
-    """No payload was appended; `leader` is an identity or ""."""
+    """No payload was appended; `leader` is an identity or "".
+
+    `log_full` is true if this replica leads, but its uncommitted entries
+    leave no room for the payloads.
+    """
 
     leader: str
+    log_full: bool = False
 
 
 Effect = (
--- a/src/sardinespool/replication/entries.py
+++ b/src/sardinespool/replication/entries.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+ENTRY_OVERHEAD_BYTES = 128
+"""What an entry takes beside its payload, in memory; less in a file."""
+
 
 class EntryKind(enum.IntEnum):
     """Type of the payload of an entry."""
@@ -23,3 +26,8 @@
     term: int
     kind: EntryKind
     payload: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the entry in memory; in a file it is smaller."""
+        return len(self.payload) + ENTRY_OVERHEAD_BYTES
--- a/src/sardinespool/replication/leadership.py
+++ b/src/sardinespool/replication/leadership.py
@@ -4,6 +4,7 @@
 from sardinespool.replication.configuration import Configuration
 from sardinespool.replication.configuration import encode_configuration
 from sardinespool.replication.entries import Entry
+from sardinespool.replication.entries import ENTRY_OVERHEAD_BYTES
 from sardinespool.replication.entries import EntryKind
 from sardinespool.replication.log_sender import LogSender
 from sardinespool.replication.membership import add_learner
@@ -71,6 +72,22 @@
         timeout_ms = self._raft.settings.election_timeout_min_ms
         return now.boot_ms < majority_boot_ms + timeout_ms
 
+    def has_room(self, payloads: tuple[bytes, ...]) -> bool:
+        """Return whether the log has room for further commands.
+
+        One command of any size is accepted while the uncommitted ones take
+        less than half of the limit; it would wait forever for all of it.
+        """
+        raft = self._raft
+        uncommitted_bytes = raft.log.size_after(raft.commit_index)
+        added_bytes = sum(
+            len(payload) + ENTRY_OVERHEAD_BYTES for payload in payloads
+        )
+        limit_bytes = raft.settings.uncommitted_limit_bytes
+        return uncommitted_bytes + added_bytes <= limit_bytes or (
+            len(payloads) == 1 and 2 * uncommitted_bytes < limit_bytes
+        )
+
     def propose(self, payloads: tuple[bytes, ...], now: Instant) -> int | None:
         """Append commands; return the first index, or None if rejected."""
         if not self.has_lease(now) or self._transfer_target:
@@ -140,6 +157,17 @@
         self._log_sender.on_snapshot_reply(progress, reply)
         self._continue_after_reply(reply.header.sender, now)
 
+    def on_snapshot_taken(self, previous_index: int) -> None:
+        """Abort the transfers that another snapshot makes useless.
+
+        The entries after a snapshot below the log are gone, so its transfer
+        would only be followed by that of a later one. Those of the previous
+        snapshot continue, so two snapshots are in memory at most.
+        """
+        self._log_sender.abort_transfers(
+            max(previous_index, self._raft.log.base_index)
+        )
+
     def start_transfer(self, now: Instant) -> None:
         """Start a leadership transfer to the most up-to-date voter.
 
--- a/src/sardinespool/replication/log.py
+++ b/src/sardinespool/replication/log.py
@@ -109,6 +109,13 @@
             position += 1
         return tuple(batch)
 
+    def size_after(self, index: int) -> int:
+        """Return the size in bytes of the entries after `index`."""
+        return sum(
+            entry.size_bytes
+            for entry in self._entries[index - self.base_index :]
+        )
+
     def append(self, entries: Iterable[Entry]) -> None:
         """Append entries that directly follow the last one."""
         for entry in entries:
@@ -125,13 +132,27 @@
             item for item in self._configurations if item[0] < index
         ]
 
-    def compact(self, snapshot: Snapshot, retained_count: int) -> None:
+    def compact(
+        self,
+        snapshot: Snapshot,
+        retained_count: int,
+        retained_limit_bytes: int,
+    ) -> None:
         """Record a snapshot of applied entries and remove old entries.
 
-        The last `retained_count` entries of the snapshot stay in memory.
+        The last entries of the snapshot stay in memory, up to
+        `retained_count` entries and `retained_limit_bytes` bytes.
         """
         self.snapshot = snapshot
-        new_base_index = max(self.base_index, snapshot.index - retained_count)
+        oldest_index = max(self.base_index, snapshot.index - retained_count)
+        new_base_index = snapshot.index
+        retained_bytes = 0
+        while new_base_index > oldest_index:
+            entry = self._entries[new_base_index - self.base_index - 1]
+            retained_bytes += entry.size_bytes
+            if retained_bytes > retained_limit_bytes:
+                break
+            new_base_index -= 1
         self.base_term = self.term_at(new_base_index) or 0
         del self._entries[: new_base_index - self.base_index]
         self.base_index = new_base_index
--- a/src/sardinespool/replication/log_sender.py
+++ b/src/sardinespool/replication/log_sender.py
@@ -44,12 +44,32 @@
                 return
             if len(progress.in_flight) >= settings.appends_in_flight:
                 return
-            last_index = self._send_entries(identity, progress, now)
+            entries = self._raft.log.entries_from(
+                progress.next_index, settings.append_limit_bytes
+            )
+            size_bytes = sum(entry.size_bytes for entry in entries)
+            if (
+                progress.in_flight
+                and progress.in_flight_bytes + size_bytes
+                > settings.in_flight_limit_bytes
+            ):
+                return
+            self._send_entries(identity, progress, entries, now)
             if progress.probing:
                 progress.probe_in_flight = True
             else:
-                progress.next_index = last_index + 1
-                progress.in_flight.append(last_index)
+                progress.add_in_flight(entries[-1].index, size_bytes)
+
+    def abort_transfers(self, before_index: int) -> None:
+        """Abort the transfers of snapshots that end before an index.
+
+        The next message to the member begins with the latest snapshot.
+        """
+        for progress in self._progress.values():
+            outgoing = progress.outgoing_snapshot
+            if outgoing is not None and outgoing.snapshot.index < before_index:
+                progress.outgoing_snapshot = None
+                progress.resume_probing(outgoing.snapshot.index + 1)
 
     def on_append_reply(self, progress: Progress, reply: AppendReply) -> None:
         """Update the member's progress after an append reply."""
@@ -109,15 +129,16 @@
         return progress.next_index - 1 < self._raft.log.base_index
 
     def _send_entries(
-        self, identity: str, progress: Progress, now: Instant
-    ) -> int:
+        self,
+        identity: str,
+        progress: Progress,
+        entries: tuple[Entry, ...],
+        now: Instant,
+    ) -> None:
         raft = self._raft
         previous_index = progress.next_index - 1
         previous_term = raft.log.term_at(previous_index)
         assert previous_term is not None
-        entries = raft.log.entries_from(
-            progress.next_index, raft.settings.append_limit_bytes
-        )
         self._send_append(
             identity,
             previous_index,
@@ -126,7 +147,6 @@
             raft.commit_index,
             now,
         )
-        return previous_index + len(entries)
 
     def _send_append(
         self,
@@ -157,7 +177,7 @@
         if progress.outgoing_snapshot is None:
             assert raft.log.snapshot is not None
             progress.outgoing_snapshot = OutgoingSnapshot(raft.log.snapshot)
-            progress.in_flight.clear()
+            progress.clear_in_flight()
         outgoing = progress.outgoing_snapshot
         retry_ms = CHUNK_RETRY_HEARTBEATS * raft.settings.heartbeat_interval_ms
         if (
--- a/src/sardinespool/replication/progress.py
+++ b/src/sardinespool/replication/progress.py
@@ -25,8 +25,11 @@
         pipelined.
     probe_in_flight : bool
         Whether the append of a probe awaits its reply.
-    in_flight : collections.deque of int
-        Last index of each pipelined append that awaits its reply.
+    in_flight : collections.deque of (int, int)
+        Last index and size in bytes of each pipelined append that awaits its
+        reply.
+    in_flight_bytes : int
+        Size of these appends.
     acknowledged_boot_ms : int or None
         Latest send time, on the leader's clock, that the member has
         acknowledged in this term.
@@ -39,9 +42,10 @@
     match_index: int = 0
     probing: bool = True
     probe_in_flight: bool = False
-    in_flight: collections.deque[int] = dataclasses.field(
+    in_flight: collections.deque[tuple[int, int]] = dataclasses.field(
         default_factory=collections.deque
     )
+    in_flight_bytes: int = 0
     acknowledged_boot_ms: int | None = None
     outgoing_snapshot: OutgoingSnapshot | None = None
 
@@ -56,12 +60,12 @@
     def advance(self, match_index: int) -> None:
         """Record a successful append or snapshot."""
         self.match_index = max(self.match_index, match_index)
-        while self.in_flight and self.in_flight[0] <= self.match_index:
-            self.in_flight.popleft()
+        while self.in_flight and self.in_flight[0][0] <= self.match_index:
+            self.in_flight_bytes -= self.in_flight.popleft()[1]
         if self.probing:
             self.probing = False
             self.probe_in_flight = False
-            self.in_flight.clear()
+            self.clear_in_flight()
             self.next_index = self.match_index + 1
         else:
             self.next_index = max(self.next_index, self.match_index + 1)
@@ -71,4 +75,15 @@
         self.next_index = max(next_index, self.match_index + 1)
         self.probing = True
         self.probe_in_flight = False
+        self.clear_in_flight()
+
+    def add_in_flight(self, last_index: int, size_bytes: int) -> None:
+        """Record a pipelined append that was sent."""
+        self.next_index = last_index + 1
+        self.in_flight.append((last_index, size_bytes))
+        self.in_flight_bytes += size_bytes
+
+    def clear_in_flight(self) -> None:
+        """Forget the pipelined appends that await their replies."""
         self.in_flight.clear()
+        self.in_flight_bytes = 0
--- a/src/sardinespool/replication/raft_state.py
+++ b/src/sardinespool/replication/raft_state.py
@@ -182,5 +182,9 @@
         ):
             return
         snapshot = Snapshot(index, term, configuration, data)
-        self.log.compact(snapshot, self.settings.retained_entries)
+        self.log.compact(
+            snapshot,
+            self.settings.retained_entries,
+            self.settings.retained_limit_bytes,
+        )
         self.effects.snapshot = snapshot
--- a/src/sardinespool/replication/replica.py
+++ b/src/sardinespool/replication/replica.py
@@ -84,7 +84,10 @@
             case Propose(payloads):
                 self._propose(payloads, now)
             case SnapshotTaken(index, data):
+                previous = self._raft.log.snapshot
                 self._raft.record_snapshot(index, data)
+                if previous is not None and self._leadership is not None:
+                    self._leadership.on_snapshot_taken(previous.index)
             case TransferLeadership():
                 if self._leadership is not None:
                     self._leadership.start_transfer(now)
@@ -150,10 +153,13 @@
     def _propose(self, payloads: tuple[bytes, ...], now: Instant) -> None:
         raft = self._raft
         index = None
+        log_full = False
         if self._leadership is not None:
-            index = self._leadership.propose(payloads, now)
+            log_full = not self._leadership.has_room(payloads)
+            if not log_full:
+                index = self._leadership.propose(payloads, now)
         raft.effects.proposal_results.append(
-            ProposalRejected(raft.leader)
+            ProposalRejected(raft.leader, log_full)
             if index is None
             else ProposalAccepted(index, raft.term)
         )
--- a/src/sardinespool/replication/settings.py
+++ b/src/sardinespool/replication/settings.py
@@ -35,5 +35,14 @@
     join_interval_ms: int = 500
     append_limit_bytes: int = 262_144
     appends_in_flight: int = 8
-    retained_entries: int = 500
+    in_flight_limit_bytes: int = 2_097_152
+    """Size of the appends in flight to a member; one may exceed it alone."""
+    retained_entries: int = 2_000
     """Entries kept in memory below a snapshot for slow followers."""
+    retained_limit_bytes: int = 8_388_608
+    """Size of the entries kept below a snapshot. With as many as there are
+    between two snapshots, a snapshot can be transferred while the next one is
+    taken, and the member continues with entries."""
+    uncommitted_limit_bytes: int = 8_388_608
+    """Size of the uncommitted entries above which a leader rejects further
+    commands. One of any size is accepted below half of it."""
--- a/src/sardinespool/replication/snapshot_transfer.py
+++ b/src/sardinespool/replication/snapshot_transfer.py
@@ -8,7 +8,7 @@
     """Transfer of one snapshot to one member, one chunk at a time.
 
     The snapshot doesn't change during a transfer, even if a newer one is
-    taken.
+    taken, as long as the log holds the entries that follow it.
     """
 
     def __init__(self, snapshot: Snapshot) -> None:
--- a/src/sardinespool/settings/model.py
+++ b/src/sardinespool/settings/model.py
@@ -62,13 +62,18 @@
 
 
 class ReplicationSettings(Settings, frozen=True, kw_only=True):
-    """Timing of the replicated log, in milliseconds."""
+    """Timing of the replicated log, in milliseconds, and its sizes.
+
+    A snapshot of the state is taken after `snapshot_every_entries` applied
+    entries, or once a log segment has `snapshot_every_bytes` bytes.
+    """
 
     heartbeat_interval_ms: int = 100
     lease_ms: int = 700
     election_timeout_min_ms: int = 900
     election_timeout_max_ms: int = 1500
     snapshot_every_entries: int = 2000
+    snapshot_every_bytes: int = 8_388_608
 
 
 class StoreSettings(Settings, frozen=True, kw_only=True):
--- a/src/sardinespool/settings/program_checks.py
+++ b/src/sardinespool/settings/program_checks.py
@@ -30,6 +30,7 @@
     "replication.election_timeout_min_ms",
     "replication.election_timeout_max_ms",
     "replication.snapshot_every_entries",
+    "replication.snapshot_every_bytes",
 )
 
 
--- a/src/sardinespool/storage/files.py
+++ b/src/sardinespool/storage/files.py
@@ -1,5 +1,6 @@
 """Durable file operations."""
 
+import contextlib
 import os
 import pathlib
 
@@ -34,18 +35,24 @@
         remaining = remaining[os.write(descriptor, remaining) :]
 
 
-def replace_file_atomically(path: pathlib.Path, data: bytes) -> None:
+def replace_file_atomically(path: pathlib.Path, *parts: bytes) -> None:
     """Atomically replace a file: write to a temporary file, sync, rename.
 
-    After a crash the path has either the old or the new content.
+    After a crash the path has either the old or the new content, which is
+    the concatenation of `parts`. A write that fails leaves no file behind.
     """
     temporary_path = path.with_name(path.name + TEMPORARY_SUFFIX)
     descriptor = os.open(
         temporary_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644
     )
     try:
-        write_all(descriptor, data)
+        for part in parts:
+            write_all(descriptor, part)
         os.fsync(descriptor)
+    except OSError:
+        with contextlib.suppress(OSError):
+            temporary_path.unlink()
+        raise
     finally:
         os.close(descriptor)
     os.rename(temporary_path, path)
--- a/src/sardinespool/storage/group_store.py
+++ b/src/sardinespool/storage/group_store.py
@@ -49,6 +49,11 @@
         self._hard_state: HardState | None = None
         self._writable = False
 
+    @property
+    def segment_bytes(self) -> int:
+        """Size of the last log segment; a stored snapshot starts a new one."""
+        return self._log.segment_bytes
+
     def load(self) -> PersistedState:
         """Return the stored state; must be called once, before `persist`.
 
--- a/src/sardinespool/storage/records.py
+++ b/src/sardinespool/storage/records.py
@@ -8,8 +8,10 @@
 
 import dataclasses
 import enum
+import io
 import struct
 from collections.abc import Iterator
+from typing import BinaryIO
 
 import xxhash
 
@@ -40,14 +42,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """Decoded record with its start and end offsets in the segment."""
+    """Decoded record."""
 
     index: int
     term: int
     kind: RecordKind
     payload: bytes
-    offset: int
-    end: int
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the encoded record."""
+        return HEADER_BYTES + len(self.payload)
 
     def entry(self) -> Entry:
         """Return the log entry; the kind must not be `TRUNCATE`."""
@@ -58,48 +63,49 @@
     index: int, term: int, kind: int, payload: bytes = b""
 ) -> bytes:
     """Return the encoded header and payload."""
-    checksummed = _ENTRY_FIELDS.pack(index, term, kind) + payload
-    checksum = _checksum(len(payload), checksummed)
-    return _PREFIX.pack(MAGIC, len(payload), checksum) + checksummed
+    fields = _ENTRY_FIELDS.pack(index, term, kind)
+    checksum = _checksum(fields, payload)
+    return _PREFIX.pack(MAGIC, len(payload), checksum) + fields + payload
 
 
-def read_record(data: bytes, offset: int) -> Record | None:
-    """Return the record at `offset`, or None if it is invalid."""
-    if len(data) - offset < HEADER_BYTES:
+def read_record(file: BinaryIO) -> Record | None:
+    """Return the record at the position of `file`, or None if invalid."""
+    header = file.read(HEADER_BYTES)
+    if len(header) < HEADER_BYTES:
         return None
-    magic, length, checksum = _PREFIX.unpack_from(data, offset)
-    checksummed_start = offset + _PREFIX.size
-    end = checksummed_start + _ENTRY_FIELDS.size + length
-    if magic != MAGIC or length > PAYLOAD_LIMIT_BYTES or end > len(data):
+    magic, length, checksum = _PREFIX.unpack_from(header)
+    if magic != MAGIC or length > PAYLOAD_LIMIT_BYTES:
         return None
-    if _checksum(length, memoryview(data)[checksummed_start:end]) != checksum:
+    payload = file.read(length)
+    fields = header[_PREFIX.size :]
+    if len(payload) < length or _checksum(fields, payload) != checksum:
         return None
-    index, term, kind = _ENTRY_FIELDS.unpack_from(data, checksummed_start)
+    index, term, kind = _ENTRY_FIELDS.unpack(fields)
     if kind not in RecordKind.__members__.values():
         return None
-    payload = data[offset + HEADER_BYTES : end]
-    return Record(index, term, RecordKind(kind), payload, offset, end)
+    return Record(index, term, RecordKind(kind), payload)
 
 
-def read_records(data: bytes) -> Iterator[Record]:
-    """Yield records from the start until the first invalid one."""
-    offset = 0
-    while (record := read_record(data, offset)) is not None:
+def read_records(file: BinaryIO) -> Iterator[Record]:
+    """Yield records from the start of `file` until the first invalid one."""
+    while (record := read_record(file)) is not None:
         yield record
-        offset = record.end
 
 
 def has_record_after(data: bytes, offset: int) -> bool:
     """Return whether a valid record starts after `offset`."""
+    file = io.BytesIO(data)
     candidate = data.find(MAGIC, offset + 1)
     while candidate >= 0:
-        if read_record(data, candidate) is not None:
+        file.seek(candidate)
+        if read_record(file) is not None:
             return True
         candidate = data.find(MAGIC, candidate + 1)
     return False
 
 
-def _checksum(length: int, checksummed: bytes | memoryview) -> int:
-    digest = xxhash.xxh64(_LENGTH.pack(length))
-    digest.update(checksummed)
+def _checksum(fields: bytes, payload: bytes) -> int:
+    digest = xxhash.xxh64(_LENGTH.pack(len(payload)))
+    digest.update(fields)
+    digest.update(payload)
     return digest.intdigest()
--- a/src/sardinespool/storage/segmented_log.py
+++ b/src/sardinespool/storage/segmented_log.py
@@ -24,10 +24,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Segment:
-    """Segment file and the highest index of its current entries."""
+    """Segment file, its size and the highest index of its current entries."""
 
     path: pathlib.Path
     last_index: int = 0
+    size_bytes: int = 0
 
 
 class SegmentedLog:
@@ -57,6 +58,11 @@
             return self._terms[position]
         return None
 
+    @property
+    def segment_bytes(self) -> int:
+        """Size of the last segment, without queued records."""
+        return self._segments[-1].size_bytes if self._segments else 0
+
     @property
     def first_index(self) -> int | None:
         """Index of the first current entry, or None."""
@@ -126,9 +132,11 @@
     def sync(self) -> None:
         """Write the queued records and make them durable with one sync."""
         if self._pending_records:
-            write_all(self._descriptor, b"".join(self._pending_records))
+            data = b"".join(self._pending_records)
             self._pending_records.clear()
+            write_all(self._descriptor, data)
             os.fdatasync(self._descriptor)
+            self._segments[-1].size_bytes += len(data)
 
     def rotate(self) -> None:
         """Start a new segment; no records may be queued."""
@@ -172,34 +180,35 @@
     def _load_segment(
         self, segment: Segment, is_last: bool, entries: list[Entry]
     ) -> None:
-        data = segment.path.read_bytes()
-        end = 0
-        for record in read_records(data):
-            end = record.end
-            _remove_entries_from(entries, record.index)
-            for earlier in self._segments:
-                earlier.last_index = min(earlier.last_index, record.index - 1)
-            segment.last_index = min(segment.last_index, record.index - 1)
-            if record.kind is RecordKind.TRUNCATE:
-                continue
-            if entries and record.index != entries[-1].index + 1:
-                raise CorruptLogError(
-                    "Entries are missing from the log.",
-                    file=str(segment.path),
-                    index=record.index,
-                    last_index=entries[-1].index,
-                )
-            entries.append(record.entry())
-            segment.last_index = record.index
-        if end == len(data):
+        # One record at a time: the entries are the only copy in memory.
+        with segment.path.open("rb") as file:
+            for record in read_records(file):
+                segment.size_bytes += record.size_bytes
+                _remove_entries_from(entries, record.index)
+                for each in (*self._segments, segment):
+                    each.last_index = min(each.last_index, record.index - 1)
+                if record.kind is RecordKind.TRUNCATE:
+                    continue
+                if entries and record.index != entries[-1].index + 1:
+                    raise CorruptLogError(
+                        "Entries are missing from the log.",
+                        file=str(segment.path),
+                        index=record.index,
+                        last_index=entries[-1].index,
+                    )
+                entries.append(record.entry())
+                segment.last_index = record.index
+            file.seek(segment.size_bytes)
+            rest = file.read()
+        if not rest:
             return
-        if not is_last or has_record_after(data, end):
+        if not is_last or has_record_after(rest, 0):
             raise CorruptLogError(
                 "A record before the end of the log is damaged.",
                 file=str(segment.path),
-                offset_bytes=end,
+                offset_bytes=segment.size_bytes,
             )
-        _truncate_file(segment.path, end)
+        _truncate_file(segment.path, segment.size_bytes)
 
 
 def _remove_entries_from(entries: list[Entry], index: int) -> None:
--- a/src/sardinespool/transport/peer_link.py
+++ b/src/sardinespool/transport/peer_link.py
@@ -16,6 +16,7 @@
 from sardinespool.transport import system_clock
 from sardinespool.transport.frame_stream import FrameStream
 from sardinespool.transport.frames import Frame
+from sardinespool.transport.frames import FRAME_BYTES_MAX
 from sardinespool.transport.frames import FrameKind
 from sardinespool.transport.frames import PROTOCOL_VERSION
 
@@ -27,6 +28,7 @@
 RECONNECT_DELAY_MIN_MS = 50
 RECONNECT_DELAY_MAX_MS = 1_000
 QUEUED_FRAMES_MAX = 1_000
+QUEUED_BYTES_MAX = FRAME_BYTES_MAX
 KEEPALIVE_INTERVAL_MS = 400
 SILENCE_TIMEOUT_MS = 1_200
 """Time without received data after which a connection is closed; 3 keepalives.
@@ -41,11 +43,11 @@
 class PeerLink:
     """Keeps one connection to an address and sends calls over it.
 
-    Frames sent while disconnected are queued, up to `QUEUED_FRAMES_MAX`;
-    beyond that, the oldest are dropped. The link connects on first use and
-    reconnects after a failure as soon as frames are queued. A queued call
-    whose caller has got an error is never sent, so that the error tells
-    whether the call may take effect.
+    Frames sent while disconnected are queued, up to `QUEUED_FRAMES_MAX` and
+    `QUEUED_BYTES_MAX`; beyond that, the oldest are dropped. The link connects
+    on first use and reconnects after a failure as soon as frames are queued.
+    A queued call whose caller has got an error is never sent, so that the
+    error tells whether the call may take effect.
 
     Parameters
     ----------
@@ -65,9 +67,8 @@
         self._tls_context = tls_context
         self._tcp_client = TCPClient()
         self._stream: FrameStream | None = None
-        self._queued_frames: asyncio.Queue[Frame] = asyncio.Queue(
-            QUEUED_FRAMES_MAX
-        )
+        self._queued_frames: asyncio.Queue[Frame] = asyncio.Queue()
+        self._queued_bytes = 0
         self._pending_replies: dict[int, asyncio.Future[bytes]] = {}
         self._unsent_call_ids: set[int] = set()
         self._call_ids = itertools.count(1)
@@ -83,11 +84,13 @@
                 return
             except ConnectionLostError:
                 self._stream = None
-        try:
-            self._queued_frames.put_nowait(frame)
-        except asyncio.QueueFull:
-            self._queued_frames.get_nowait()
-            self._queued_frames.put_nowait(frame)
+        self._queued_bytes += len(frame.body)
+        self._queued_frames.put_nowait(frame)
+        while self._queued_frames.qsize() > 1 and (
+            self._queued_frames.qsize() > QUEUED_FRAMES_MAX
+            or self._queued_bytes > QUEUED_BYTES_MAX
+        ):
+            self._take_queued_frame()
 
     async def call(
         self,
@@ -152,6 +155,7 @@
         try:
             while True:
                 first_frame = await self._queued_frames.get()
+                self._queued_bytes -= len(first_frame.body)
                 try:
                     stream = await self._connect()
                     delay_ms = RECONNECT_DELAY_MIN_MS
@@ -167,6 +171,11 @@
         finally:
             self._drop_connection()
 
+    def _take_queued_frame(self) -> Frame:
+        frame = self._queued_frames.get_nowait()
+        self._queued_bytes -= len(frame.body)
+        return frame
+
     async def _connect(self) -> FrameStream:
         host, port = split_address(self._address)
         try:
@@ -209,7 +218,7 @@
         stream.write(self._hello_frame)
         self._write(stream, first_frame)
         while not self._queued_frames.empty():
-            self._write(stream, self._queued_frames.get_nowait())
+            self._write(stream, self._take_queued_frame())
         self._last_received_boot_ms = system_clock.now().boot_ms
         keepalive_task = asyncio.create_task(self._send_keepalives(stream))
         try:
--- a/testing/controller/test_storage_failure.py
+++ b/testing/controller/test_storage_failure.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import socket
+import weakref
 from types import SimpleNamespace
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 from sardinespool.dispatch.orders import NoAnswer
 from sardinespool.errors import SardinespoolError
+from sardinespool.errors.replication import LogFullError
 from sardinespool.errors.replication import NotLeaderError
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.messages.codec import Reply
@@ -26,6 +28,8 @@
 from sardinespool.programs.controller.settings import (
     ControlGroupMemberSettings,
 )
+from sardinespool.replication.state import PersistedState
+from sardinespool.storage.group_store import GroupStore
 
 CALL_TIMEOUT_MS = 300
 
@@ -173,3 +177,93 @@
         await controller.stop()
 
     asyncio.run(run())
+
+
+def test_files_are_loaded_after_the_earlier_state_is_released(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two copies of the log and the state in memory."""
+    earlier: list[weakref.ref[Any]] = []
+    loaded_beside: list[bool] = []
+    load = GroupStore.load
+
+    def record_load(store: GroupStore) -> PersistedState:
+        loaded_beside.extend(item() is not None for item in earlier)
+        return load(store)
+
+    monkeypatch.setattr(GroupStore, "load", record_load)
+
+    async def run() -> None:
+        address = free_address()
+        controller = ControlGroupMember(
+            ControlGroupMemberSettings(
+                address=address,
+                peers=(address,),
+                bootstrap=True,
+                data_folder=tmp_path,
+                cluster_token="token",
+            ),
+            UnreachableWorkers(),
+            Metrics("controller", "a"),
+        )
+        controller.start()
+        await call_until_served(controller, make_manifest(1))
+        handler = controller._runner._event_handler
+        assert handler is not None
+        earlier.extend(
+            weakref.ref(item)
+            for item in (
+                handler._replica._raft.log,
+                controller._machine,
+                controller._dispatcher,
+            )
+        )
+        del handler
+        with monkeypatch.context() as full_disk:
+
+            def raise_disk_full(descriptor: int) -> None:
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+            full_disk.setattr(os, "fdatasync", raise_disk_full)
+            with pytest.raises(SardinespoolError):
+                await controller.call(make_manifest(2), CALL_TIMEOUT_MS)
+        await call_until_served(controller, make_manifest(3))
+        await controller.stop()
+
+    asyncio.run(run())
+    assert loaded_beside
+    assert not any(loaded_beside)
+
+
+def test_call_waits_for_room_in_the_log(tmp_path: pathlib.Path) -> None:
+    """Guards against a refusal while earlier changes are being committed."""
+
+    class FullLog:
+        serving = True
+        status = SimpleNamespace(leader="")
+        refusals = 3
+
+        async def call(self, request: Request) -> Reply:
+            self.refusals -= 1
+            if self.refusals >= 0:
+                raise LogFullError("Full.")
+            return Accepted()
+
+    async def run() -> None:
+        controller = ControlGroupMember(
+            ControlGroupMemberSettings(
+                address=free_address(),
+                peers=(),
+                bootstrap=False,
+                data_folder=tmp_path,
+                cluster_token="token",
+            ),
+            UnreachableWorkers(),
+            Metrics("controller", "a"),
+        )
+        controller._runner = FullLog()  # type: ignore[assignment]
+        reply = await controller.call(make_manifest(1), 3_000)
+        assert reply == Accepted()
+        await controller.stop()
+
+    asyncio.run(run())
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -185,6 +185,34 @@
     assert guard.connections_max == connections
 
 
+@pytest.mark.parametrize(
+    ("limits", "segment_bytes"),
+    [
+        pytest.param("{}", 8_388_608, id="no limits"),
+        pytest.param(
+            "{memory_mb: 296, disk_mb: 128}", 8_388_608, id="usual core"
+        ),
+        pytest.param(
+            "{memory_mb: 296, disk_mb: 32}", 2_097_152, id="small disk"
+        ),
+        pytest.param(
+            "{memory_mb: 64, disk_mb: 128}", 2_097_152, id="little memory"
+        ),
+        pytest.param("{memory_mb: 300, disk_mb: 0}", 8_388_608, id="no disk"),
+    ],
+)
+def test_size_of_log_segments(
+    tmp_path: pathlib.Path, limits: str, segment_bytes: int
+) -> None:
+    """Guards against a log that outgrows a small disk or memory."""
+    path = tmp_path / "local.yaml"
+    path.write_text(
+        SETTINGS_YAML.replace("limits:\n  memory_mb: 296", f"limits: {limits}")
+    )
+    replication = load_platform_settings(path).limits.replication
+    assert replication.snapshot_every_bytes == segment_bytes
+
+
 @pytest.mark.parametrize(
     "limits",
     [
--- a/testing/replication/memory_disk.py
+++ b/testing/replication/memory_disk.py
@@ -31,6 +31,10 @@
                 self._retain_entries(lambda i, e=entry: i < e.index)
                 self.entries[entry.index] = entry
 
+    @property
+    def segment_bytes(self) -> int:
+        return sum(entry.size_bytes for entry in self.entries.values())
+
     def state(self) -> PersistedState:
         base_index = self.snapshot.index if self.snapshot else 0
         entries = tuple(self.entries[i] for i in sorted(self.entries))
--- a/testing/replication/test_single_replica.py
+++ b/testing/replication/test_single_replica.py
@@ -205,6 +205,34 @@
     assert [e.payload for e in persist.entries] == [b"x", b"y"]
 
 
+@pytest.mark.parametrize(
+    ("uncommitted", "added", "accepted"),
+    [
+        pytest.param(0.0, [2.0], True, id="large one alone"),
+        pytest.param(0.4, [2.0], True, id="large one beside few"),
+        pytest.param(0.6, [2.0], False, id="large one beside many"),
+        pytest.param(0.4, [0.4, 0.4], False, id="batch above the limit"),
+        pytest.param(0.6, [0.3], True, id="small one beside many"),
+        pytest.param(0.9, [0.3], False, id="small one above the limit"),
+    ],
+)
+def test_leader_limits_uncommitted_bytes(
+    uncommitted: float, added: list[float], accepted: bool
+) -> None:
+    """Guards against a log without bound, and a command that never fits."""
+    limit_bytes = ReplicaSettings("g", "a").uncommitted_limit_bytes
+    driver = ReplicaDriver()
+    driver.lead()
+    driver.acknowledge(3)
+    if uncommitted:
+        driver.handle(Propose((bytes(int(uncommitted * limit_bytes)),)))
+    payloads = tuple(bytes(int(share * limit_bytes)) for share in added)
+    effects = driver.handle(Propose(payloads))
+    rejected = ProposalRejected("a#1", log_full=True) in effects
+    assert rejected is not accepted
+    assert accepted is any(isinstance(e, ProposalAccepted) for e in effects)
+
+
 def test_append_message_size_is_limited() -> None:
     """Entries are split so that a message stays below the frame limit."""
     driver = ReplicaDriver()
--- a/testing/storage/test_group_store.py
+++ b/testing/storage/test_group_store.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import pathlib
+import tracemalloc
 
 import pytest
 
@@ -13,8 +14,11 @@
 from sardinespool.replication.effects import Persist
 from sardinespool.replication.effects import PersistSnapshot
 from sardinespool.replication.entries import Entry
+from sardinespool.replication.entries import EntryKind
 from sardinespool.replication.state import HardState
+from sardinespool.replication.state import Snapshot
 from sardinespool.storage.group_store import GroupStore
+from testing.storage.helpers import CONFIGURATION
 from testing.storage.helpers import entries
 from testing.storage.helpers import entry
 from testing.storage.helpers import last_segment
@@ -245,3 +249,46 @@
     assert len(list(tmp_path.glob("segment-*"))) <= 2
     assert len(list(tmp_path.glob("snapshot-*"))) == 1
     assert load_state(tmp_path).entries == entries(89, 90)
+
+
+def test_load_holds_one_copy_of_the_log(tmp_path: pathlib.Path) -> None:
+    """Guards against a start that needs several times the size of the log."""
+    payload_bytes = 500_000
+    logged = tuple(
+        Entry(index, 1, EntryKind.COMMAND, bytes([index]) * payload_bytes)
+        for index in range(1, 13)
+    )
+    state = Snapshot(4, 1, CONFIGURATION, b"s" * payload_bytes)
+    persist_batches(
+        tmp_path, [Persist(None, logged[:8])], [Persist(None, logged[8:])]
+    )
+    persist_batches(tmp_path, [PersistSnapshot(state)])
+    tracemalloc.start()
+    try:
+        loaded = load_state(tmp_path)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert loaded.entries == logged[4:]
+    # The entries of the files, the snapshot, and one record in progress.
+    assert peak_bytes < (len(logged) + 1 + 2) * payload_bytes
+
+
+def test_failed_write_of_a_snapshot_leaves_no_file(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a partial snapshot that keeps a full disk full."""
+    persist_batches(tmp_path, [Persist(None, entries(1, 3))])
+    store = GroupStore(tmp_path)
+    store.load()
+
+    def refuse(descriptor: int) -> None:
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    with monkeypatch.context() as full_disk:
+        full_disk.setattr(os, "fsync", refuse)
+        with pytest.raises(StorageError):
+            store.persist([snapshot(2)])
+    store.close()
+    assert not list(tmp_path.glob("*.tmp"))
+    assert load_state(tmp_path).entries == entries(1, 3)
--- a/testing/transport/test_unsent_calls.py
+++ b/testing/transport/test_unsent_calls.py
@@ -14,6 +14,7 @@
 from sardinespool.transport.group_client import may_take_effect
 from sardinespool.transport.peer_link import hello_frame
 from sardinespool.transport.peer_link import PeerLink
+from sardinespool.transport.peer_link import QUEUED_BYTES_MAX
 
 
 class GatedLink(PeerLink):
@@ -163,3 +164,22 @@
         return peer.bodies
 
     assert asyncio.run(run()) == [b"first"]
+
+
+def test_frames_for_an_unreachable_member_are_bounded_in_bytes() -> None:
+    """Guards against a queue of large frames that fills the memory."""
+
+    async def run() -> None:
+        link = GatedLink("127.0.0.1:9")
+        for number in range(40):
+            body = bytes([number]) * (QUEUED_BYTES_MAX // 8)
+            link.send(Frame(kind=FrameKind.PEER, group="g", body=body))
+            queued = list(link._queued_frames._queue)  # type: ignore[attr-defined]
+            assert sum(len(item.body) for item in queued) <= QUEUED_BYTES_MAX
+        assert [item.body[0] for item in queued] == list(range(32, 40))
+        # A frame that exceeds the limit alone is still sent.
+        link.send(Frame(kind=FrameKind.PEER, body=bytes(QUEUED_BYTES_MAX + 1)))
+        assert link._queued_frames.qsize() == 1
+        await link.close()
+
+    asyncio.run(run())
