Attribute failures to jobs that fail everywhere, and bound what is set aside

Cause: a worker was set aside when tasks of two different jobs had failed on it in a row, and again at each failure until a task was done there. Only overdue long-running tasks may start on such a worker, and these are the ones that fail: with two jobs that fail everywhere, every worker is closed for good.

Change: a failure is attributed to the job if the job fails on more workers than it works on, and on at least two more than jobs fail on this worker, or on more than can be set aside; it is no evidence against the worker then, and a worker set aside for it is released. At most a third of a pool is set aside, and no worker that is the only one for the failing tasks. A step that only workers set aside can take starts there after 2 s. A long-running task that fails at once is started again after delays that grow to 4 s. The wait for the last resort begins anew when no step was ready in between.

--- a/src/sardinespool/dispatch/dispatcher.py
+++ b/src/sardinespool/dispatch/dispatcher.py
@@ -76,7 +76,7 @@
         )
         model = TailModel()
         self.estimates = EstimatesSchedule(machine, model)
-        self.health = WorkerHealth()
+        self.health = WorkerHealth(self.fleet.workers)
         self._begun_jobs = BegunJobs(self.fleet)
         self._answers = AnswerHandler(
             self.fleet,
--- a/src/sardinespool/dispatch/placement_order.py
+++ b/src/sardinespool/dispatch/placement_order.py
@@ -56,6 +56,7 @@
         self._machine = machine
         self._fleet = fleet
         self._waiting_since: dict[StepKey, int] = {}
+        self._unplaced_since: dict[StepKey, int] = {}
         self.congestion = CongestionLog()
         self.shares = ShareOrder(machine, fleet.limits)
 
@@ -63,6 +64,7 @@
         """Return a copy for another pass, which writes no log lines."""
         order = PlacementOrder(machine, fleet)
         order._waiting_since.update(self._waiting_since)
+        order._unplaced_since.update(self._unplaced_since)
         order.congestion = UnloggedCongestion()
         order.shares.lacked_room = self.shares.lacked_room
         return order
@@ -74,6 +76,7 @@
     def reset(self) -> None:
         """Clear the state of earlier passes."""
         self._waiting_since.clear()
+        self._unplaced_since.clear()
         self.congestion = CongestionLog()
         self.shares.lacked_room = False
 
@@ -84,6 +87,15 @@
             for key, since in self._waiting_since.items()
             if key in ready
         }
+        self.retain_unplaced(ready)
+
+    def retain_unplaced(self, ready: Container[StepKey]) -> None:
+        """Forget since when the steps that are not ready found no worker."""
+        self._unplaced_since = {
+            key: since
+            for key, since in self._unplaced_since.items()
+            if key in ready
+        }
 
     def awaits_batch(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a new serving step waits for others of its image.
@@ -107,6 +119,15 @@
             and step.spec.long_running
         )
 
+    def has_waited_long(self, step: StepRecord, now: Instant) -> bool:
+        """Return whether a step has found no worker for too long.
+
+        Unlike the wait by which steps are ordered, this one also begins anew
+        when no step was ready in between.
+        """
+        since_boot_ms = self._unplaced_since.setdefault(step.key, now.boot_ms)
+        return now.boot_ms - since_boot_ms > OVERDUE_WAIT_MS
+
     def is_starved(self, step: StepRecord, now: Instant) -> bool:
         """Return whether a step without any run has waited too long."""
         return (
--- a/src/sardinespool/dispatch/placer.py
+++ b/src/sardinespool/dispatch/placer.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from sardinespool.dispatch.best_effort import BestEffortScorer
+from sardinespool.dispatch.near_supply import can_ever_take
 from sardinespool.dispatch.near_waits import NearWaits
 from sardinespool.dispatch.worker_state import WorkerState
 from sardinespool.messages.workflows import StepSpec
@@ -78,6 +79,7 @@
         starved: bool,
         failed_workers: set[str],
         overdue: bool = False,
+        last_resort: bool = False,
     ) -> Iterator[WorkerState]:
         """Yield a worker for each task of a step.
 
@@ -96,9 +98,16 @@
         overdue : bool
             Whether workers that were set aside may be chosen, after all
             others.
+        last_resort : bool
+            Whether they may be chosen if no other worker can ever take a
+            task of the step.
         """
         spec = step.spec
         groups = [self._workers + (self._set_aside if overdue else [])]
+        if last_resort and not any(
+            can_ever_take(worker, step) for worker in self._workers
+        ):
+            groups.append(self._set_aside)
         if overdue or starved:
             groups.append(self._held)
         heap: list[tuple[float, int, WorkerState]] = []
--- a/src/sardinespool/dispatch/planner.py
+++ b/src/sardinespool/dispatch/planner.py
@@ -162,6 +162,7 @@
                 (), self._machine.table.waiting_counts(), now
             )
             self.workspace_log.update(None, now)
+            self.order.retain_unplaced(ready)
         self.near.retain(ready, now)
         if not ready or now.boot_ms < self._pass_due_boot_ms:
             return (), []
@@ -338,6 +339,9 @@
             index
             for index in sorted(step.waiting)
             if step.tasks[index].key not in placed
+            and self._health.restart_delays.may_start(
+                step.tasks[index].key, now
+            )
         ]
         tasks_left = tasks_max - (step.spec.count - len(waiting))
         if tasks_left <= 0:
@@ -349,6 +353,7 @@
             starved,
             self._health.failed_workers(step.key),
             overdue=self.order.is_overdue(step, now),
+            last_resort=self.order.has_waited_long(step, now),
         )
         limits = self._fleet.limits
         for index in waiting[:tasks_left]:
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -46,10 +46,10 @@
 reserved for the internal links."""
 CONNECTIONS_MIN = 64
 LOG_MEMORY_SHARE = 1 / 32
-"""Entries of four log segments may be in memory at a time."""
+"""Two log segments and uncommitted entries may be in memory at a time."""
 LOG_DISK_SHARE = 1 / 16
-"""Two log segments, each with two more of entries that are not committed, take
-6/16 of the disk; the rest is for two snapshots."""
+"""Two log segments with their uncommitted entries leave half of a disk of 128
+MB for two snapshots."""
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 
--- a/testing/dispatch/fake_worker.py
+++ b/testing/dispatch/fake_worker.py
@@ -54,6 +54,8 @@
         Seed of run times, failures and clock rate.
     failing, hanging : bool
         Whether all runs on this worker fail, or never progress.
+    fails : callable or None
+        Whether the runs of a task, by its name, fail on every worker.
     failure_ratio : float
         Share of the other runs that fail.
     run_time_ms : callable or None
@@ -76,6 +78,8 @@
         Failure domain that it reports.
     refused : int
         Number of starts that it refused so.
+    failed_runs : int
+        Number of runs that were begun and fail.
     fenced : int
         Number of orders and lease renewals refused for a lower token.
     """
@@ -86,7 +90,9 @@
         self.worker_id = worker_id
         self.failing = failing
         self.hanging = False
+        self.fails: Callable[[str], bool] | None = None
         self.failure_ratio = 0.05
+        self.failed_runs = 0
         self.run_time_ms: Callable[[str], int] | None = None
         self.crashing_tasks: set[str] = set()
         self.crash_delay_ms = CRASH_DELAY_MS
@@ -294,6 +300,9 @@
         outcome: RunOutcome = "done"
         if self.failing or self._random.random() < self.failure_ratio:
             outcome = "failed"
+        if self.fails is not None and self.fails(order.task):
+            outcome = "failed"
+        self.failed_runs += outcome == "failed"
         duration_ms = self._random.randint(100, 1_500)
         if self.run_time_ms is not None:
             duration_ms = self.run_time_ms(order.task)
--- a/testing/dispatch/test_orders_across_restarts.py
+++ b/testing/dispatch/test_orders_across_restarts.py
@@ -360,7 +360,7 @@
         ) -> None:
             stopped.append(run)
 
-    WorkerHealth().check_progress(worker, 900_000, now, Control())
+    WorkerHealth({}).check_progress(worker, 900_000, now, Control())
     assert bool(stopped) is known
     declared = run.step.spec.processors_millicores
     expected = pace_controller._full_pace_millicores(run, now)
