Refuse jobs that there is no room to store

What callers saw: nothing yet.

Change: the table of jobs keeps the sum of their sizes; the leader adds what it has proposed. Beyond a share of the memory or of the disk a job is refused with 503, JobStoreFullError and Retry-After. Jobs whose commit may be under way are not refused, nor the only one.

Not measured with real processes.

--- a/src/sardinespool/dispatch/admission.py
+++ b/src/sardinespool/dispatch/admission.py
@@ -62,6 +62,11 @@
         Counts refused jobs by queue and reason.
     enabled : bool
         Whether jobs are refused at all.
+
+    Attributes
+    ----------
+    refused_jobs : Counter
+        Counts refused jobs by queue and reason.
     """
 
     def __init__(
@@ -73,7 +78,7 @@
     ) -> None:
         self._meter = meter
         self._run_times = run_times
-        self._refused_jobs = refused_jobs
+        self.refused_jobs = refused_jobs
         self._enabled = enabled
         self._begun_boot_ms = 0
         self._log_due_boot_ms = 0
@@ -85,7 +90,7 @@
         """Return a copy that logs nothing, to check a job without effects."""
         admission = copy.copy(self)
         admission._meter = self._meter.copy()
-        admission._refused_jobs = refused_jobs
+        admission.refused_jobs = refused_jobs
         admission._returns = copy.deepcopy(self._returns)
         admission._proposed = dict(self._proposed)
         admission._log_due_boot_ms = sys.maxsize
@@ -226,7 +231,7 @@
     ) -> int:
         """Remember and log a refusal; return its Retry-After in seconds."""
         retry_s = self._returns.refuse(job_id, too_long_ms, now.boot_ms)
-        self._refused_jobs.inc(queue=queue.name, reason=reason)
+        self.refused_jobs.inc(queue=queue.name, reason=reason)
         if now.boot_ms < self._log_due_boot_ms:
             self._unlogged += 1
             return retry_s
--- a/src/sardinespool/dispatch/control_service.py
+++ b/src/sardinespool/dispatch/control_service.py
@@ -8,6 +8,7 @@
 from sardinespool.dispatch.admission import Admission
 from sardinespool.dispatch.class_load import LoadMeter
 from sardinespool.dispatch.dispatcher import Dispatcher
+from sardinespool.dispatch.job_room import JobRoom
 from sardinespool.dispatch.metrics import DispatchMetrics
 from sardinespool.dispatch.order_tickets import OrderTickets
 from sardinespool.dispatch.placement_explanation import explain_placement
@@ -94,11 +95,13 @@
             dispatcher.refused_jobs,
             dispatcher.settings.admission,
         )
+        self._room = JobRoom(machine, dispatcher.settings)
 
     def become_leader(self, now: Instant) -> None:
         """Start the dispatcher with the current term as fencing token."""
         self._dispatcher.begin(self._status().term, now)
         self._admission.begin(now)
+        self._room.begin()
 
     def step_down(self) -> None:
         """Stop the dispatcher."""
@@ -204,6 +207,7 @@
                 _LOG.info("job cancelled", job=status.job_id)
                 self._dispatcher.stop_job(status.job_id, "job cancelled")
             case AcceptWorkflow() as accepted, WorkflowStatus() as status:
+                self._room.release(status.job_id)
                 _LOG.info(
                     "job accepted",
                     job=status.job_id,
@@ -226,6 +230,7 @@
         outcome = self._check_submission(request, self._admission, now)
         if isinstance(outcome, WorkflowRecord):
             return ImmediateReply(status_of(outcome))
+        self._room.reserve(outcome.job_id, outcome.spec, now)
         return Proposal(outcome)
 
     def _explain(
@@ -271,6 +276,9 @@
         workspace = manifest.workspaces_by_name.get(name)
         if workspace is not None:
             check_gangs(request.spec, workspace)
+        self._room.check(
+            job_id, queue.name, request.spec, admission.refused_jobs, now
+        )
         admission.check(job_id, queue, request.spec, now)
         return AcceptWorkflow(
             job_id=job_id,
--- a/src/sardinespool/dispatch/settings.py
+++ b/src/sardinespool/dispatch/settings.py
@@ -44,6 +44,9 @@
         1 if there is no difference, so that no task waits for a near worker.
     admission : bool
         Whether jobs that would end too late are refused, see `admission`.
+    job_memory_limit_bytes, job_file_limit_bytes : int
+        Size of the stored jobs in memory and in a snapshot from which on
+        further jobs are refused, see `job_room`.
     """
 
     lease_ms: int = 4_000
@@ -59,3 +62,5 @@
     finished_job_retention_ms: int = 120_000
     remote_factor: float = 1.0
     admission: bool = False
+    job_memory_limit_bytes: int = 268_435_456
+    job_file_limit_bytes: int = 134_217_728
--- a/src/sardinespool/errors/tasks.py
+++ b/src/sardinespool/errors/tasks.py
@@ -79,6 +79,12 @@
     http_status = 503
 
 
+class JobStoreFullError(TaskError):
+    """The stored jobs leave no room for another one; it was not accepted."""
+
+    http_status = 503
+
+
 class UnplaceableJobError(TaskError):
     """No worker that is known now can hold a task of the job."""
 
--- a/src/sardinespool/platform/settings.py
+++ b/src/sardinespool/platform/settings.py
@@ -45,6 +45,12 @@
 """A manifest of 4 MiB in progress takes 12 MiB of the 15 MiB that are not
 reserved for the internal links."""
 CONNECTIONS_MIN = 64
+JOB_MEMORY_SHARE = 1 / 4
+"""Share of the memory for stored jobs."""
+SNAPSHOT_MEMORY_SHARE = 1 / 16
+"""Share for them in each of up to four snapshots in memory."""
+JOB_DISK_SHARE = 1 / 4
+"""Share of the disk for them in each of two snapshots, beside the log."""
 LOG_MEMORY_SHARE = 1 / 32
 """Two log segments and uncommitted entries may be in memory at a time."""
 LOG_DISK_SHARE = 1 / 16
@@ -153,6 +159,26 @@
             settings, snapshot_every_bytes=snapshot_every_bytes
         )
 
+    @property
+    def job_limits(self) -> dict[str, int]:
+        """Limits of the stored jobs, by the names of `DispatchSettings`."""
+        defaults = DispatchSettings()
+        memory_limit_bytes = defaults.job_memory_limit_bytes
+        file_limit_bytes = defaults.job_file_limit_bytes
+        if self.memory_mb:
+            memory_bytes = int(self.memory_mb * 1_048_576)
+            memory_limit_bytes = int(JOB_MEMORY_SHARE * memory_bytes)
+            file_limit_bytes = int(SNAPSHOT_MEMORY_SHARE * memory_bytes)
+        if self.disk_mb:
+            file_limit_bytes = min(
+                file_limit_bytes,
+                int(JOB_DISK_SHARE * self.disk_mb * 1_048_576),
+            )
+        return {
+            "job_memory_limit_bytes": memory_limit_bytes,
+            "job_file_limit_bytes": file_limit_bytes,
+        }
+
 
 class PlatformSettings(msgspec.Struct, frozen=True):
     """Settings of one process; unknown fields of the file are ignored.
@@ -230,6 +256,7 @@
             admission=self.admission
             and isinstance(self.contracts, list)
             and "sched" in self.contracts,
+            **self.limits.job_limits,
         )
 
     @property
--- a/src/sardinespool/transport/group_client.py
+++ b/src/sardinespool/transport/group_client.py
@@ -11,6 +11,7 @@
 from sardinespool.errors.replication import ProposalLostError
 from sardinespool.errors.replication import ReplicationError
 from sardinespool.errors.tasks import GangTooLargeError
+from sardinespool.errors.tasks import JobStoreFullError
 from sardinespool.errors.tasks import OtherWorkspaceError
 from sardinespool.errors.tasks import OverloadedError
 from sardinespool.errors.tasks import QueueNotFoundError
@@ -40,6 +41,7 @@
     UnknownWorkspaceKeyError,
     OtherWorkspaceError,
     OverloadedError,
+    JobStoreFullError,
     UnplaceableJobError,
     GangTooLargeError,
 )
--- a/src/sardinespool/workflows/table.py
+++ b/src/sardinespool/workflows/table.py
@@ -17,6 +17,7 @@
 from sardinespool.workflows.assignment_units import has_room
 from sardinespool.workflows.assignment_units import is_whole
 from sardinespool.workflows.assignment_units import units_of
+from sardinespool.workflows.job_sizes import JobSizes
 from sardinespool.workflows.records import StepRecord
 from sardinespool.workflows.records import TaskRecord
 from sardinespool.workflows.records import TaskState
@@ -51,6 +52,8 @@
         Tasks whose next run must be a trial, by name.
     quotas : JobQuotas
         Quotas of the workspaces.
+    sizes : JobSizes
+        Sizes of all stored jobs.
     """
 
     def __init__(self) -> None:
@@ -61,6 +64,7 @@
         self.waiting: dict[str, set[str]] = {}
         self.suspects: dict[str, TaskRecord] = {}
         self.quotas = JobQuotas()
+        self.sizes = JobSizes()
 
     @property
     def assigned(self) -> dict[str, dict[str, TaskRecord]]:
@@ -95,6 +99,7 @@
                     workspace.name, workspace.weight, now_unix_ms
                 )
             self.workflows[body.job_id] = workflow
+            self.sizes.add(body.job_id, body.spec)
             self._update_waiting(workflow)
             if body.spec.repetitions:
                 self.unopened[body.job_id] = workflow
@@ -176,7 +181,9 @@
         self.runs.clear()
         self.waiting.clear()
         self.suspects.clear()
+        self.sizes.clear()
         for workflow in self.workflows.values():
+            self.sizes.add(workflow.job_id, workflow.spec)
             self._update_waiting(workflow)
             if workflow.next_due_unix_ms is not None:
                 self.unopened[workflow.job_id] = workflow
@@ -362,6 +369,7 @@
         if workflow is None or not workflow.is_final:
             return
         del self.workflows[job_id]
+        self.sizes.remove(job_id)
         for steps in workflow.occurrences.values():
             for step in steps:
                 for task in step.tasks:
