--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 # deploy/system.toml.
 cd "$(dirname "$0")/.." || exit 2
 exec python3 -m compileall -q review/__init__.py review/standin3 \
-    review/11 review/12 review/13 review/14 review/15
+    review/12 review/13 review/14 review/15
