--- a/review/15/case.py
+++ b/review/15/case.py
@@ -43,7 +43,7 @@
 
 
 def wide_job() -> dict[str, Any]:
-    """Return a job of many independent steps, 125 KB in all."""
+    """Return a job of many independent steps, 130 KB in all."""
     return {
         "task_spec": '{"work_ms": 500}',
         "steps": [{"count": 1, "cpu": 100}] * WIDE_STEPS,
